Serve a request from end to end as separate processes

Cause: the repository was empty; every later decision needs the whole path.

Ruled out: the full CherryPy dispatcher for callers (a WSGI application is grafted on the tree instead); a thread for each peer link (one selector thread reads every link through the websockets library's protocol without I/O, any thread writes).

--- /dev/null
+++ b/chicorychute/__init__.py
@@ -0,0 +1,3 @@
+"""Proxy fleet for upstreams with gray failures."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/chicorychute/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Ranked queue and slots of the upstreams beside a daemon."""
--- /dev/null
+++ b/chicorychute/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon, read from INI."""
--- /dev/null
+++ b/chicorychute/core/management/__init__.py
@@ -0,0 +1,47 @@
+"""Command line: one command class a module, found by name."""
+
+import argparse
+import importlib
+import pkgutil
+import sys
+
+from chicorychute.core.management.base import BaseCommand, CommandError
+
+COMMANDS_PACKAGE = "chicorychute.core.management.commands"
+
+
+def command_names() -> list[str]:
+    """Return the name of every command module, sorted."""
+    package = importlib.import_module(COMMANDS_PACKAGE)
+    return sorted(module.name for module in pkgutil.iter_modules(package.__path__))
+
+
+def load_command(name: str) -> BaseCommand:
+    """Return the command that the module `name` defines."""
+    module = importlib.import_module(f"{COMMANDS_PACKAGE}.{name}")
+    return module.Command()
+
+
+def main(arguments: list[str]) -> int:
+    """Run one command; returns its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="chicorychute", description="Proxy fleet for upstreams with gray failures."
+    )
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    for name in command_names():
+        command = load_command(name)
+        subparser = subparsers.add_parser(
+            name,
+            help=command.help,
+            description=command.help,
+            epilog=command.examples,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        command.add_arguments(subparser)
+        subparser.set_defaults(run=command.handle)
+    options = parser.parse_args(arguments)
+    try:
+        return options.run(options)
+    except CommandError as error:
+        print(f"chicorychute: {error}", file=sys.stderr)
+        return error.exit_code
--- /dev/null
+++ b/chicorychute/core/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- /dev/null
+++ b/chicorychute/core/management/commands/version.py
@@ -0,0 +1,17 @@
+"""Prints the version."""
+
+import argparse
+
+from chicorychute import VERSION
+from chicorychute.core.management.base import EXIT_OK, BaseCommand
+
+
+class Command(BaseCommand):
+    """Print the version of the program."""
+
+    help = "Print the version."
+
+    def handle(self, options: argparse.Namespace) -> int:
+        """Print one line."""
+        print(f"chicorychute {VERSION}")
+        return EXIT_OK
--- /dev/null
+++ b/chicorychute/core/messages.py
@@ -0,0 +1,247 @@
+"""Messages that daemons exchange, and the values they carry.
+
+Times on the wire are durations in milliseconds, or readings of the sender's own
+monotonic clock that only a link clock of the receiver interprets.
+"""
+
+import enum
+
+import attrs
+
+from chicorychute.core.outcomes import Outcome, Reason
+
+PROTOCOL_VERSION = 1
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class MemberStatus(enum.Enum):
+    """State of an instance in the view of a daemon."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+class Verdict(enum.Enum):
+    """Judgement of a gate on its own upstream."""
+
+    HEALTHY = "healthy"
+    COLD = "cold"
+    SICK = "sick"
+    PROBING = "probing"
+
+
+@attrs.frozen
+class Hello:
+    """First message of each side of a link."""
+
+    version: int
+    instance: str
+    incarnation: int
+    zone: str
+    region: str
+
+
+@attrs.frozen
+class Work:
+    """Request as it travels between daemons.
+
+    Attributes
+    ----------
+    target : str
+        Path and query as the caller sent them.
+    key : str
+        Idempotency key, empty where the request has none.
+    attempt : int
+        Sends to gates so far, counted across hops, from 1.
+    remaining_ms : float
+        Time left before the deadline when the message was sent.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    service: str
+    rank: str
+    team: str
+    key: str
+    traceparent: str
+    attempt: int
+    remaining_ms: float
+
+
+@attrs.frozen
+class Forward:
+    """Asks a gate to run a request at one of its upstreams."""
+
+    id: int
+    sent_s: float
+    upstream: str
+    work: Work
+    body: bytes
+    more: bool
+
+
+@attrs.frozen
+class Relay:
+    """Asks a daemon to act as the entry, or home, of a request."""
+
+    id: int
+    sent_s: float
+    work: Work
+    body: bytes
+    more: bool
+
+
+@attrs.frozen
+class BodyChunk:
+    """Further bytes of a request's body."""
+
+    id: int
+    data: bytes
+    last: bool
+
+
+@attrs.frozen
+class Cancel:
+    """Withdraws a request that is no longer wanted."""
+
+    id: int
+
+
+@attrs.frozen
+class AnswerHead:
+    """Status and headers of an upstream's answer, with its first bytes.
+
+    Attributes
+    ----------
+    length : int
+        Length of the whole body in bytes, -1 where it is not known.
+    last : bool
+        Whether `body` ends the answer.
+    """
+
+    id: int
+    status: int
+    headers: Headers
+    length: int
+    body: bytes
+    last: bool
+    queued: int
+    in_flight: int
+
+
+@attrs.frozen
+class AnswerChunk:
+    """Further bytes of an answer's body."""
+
+    id: int
+    data: bytes
+    last: bool
+
+
+@attrs.frozen
+class Refusal:
+    """End of a request without a whole answer."""
+
+    id: int
+    outcome: Outcome
+    reason: Reason
+    detail: str
+
+
+@attrs.frozen
+class UpstreamDigest:
+    """Load and health of an upstream as its gate reports them.
+
+    Attributes
+    ----------
+    latency_ms : float
+        Typical service time of recent requests.
+    failure_share : float
+        Share of recent requests that failed, 0 to 1.
+    weight : float
+        Share of its slots that a warming upstream may use, 0 to 1.
+    """
+
+    upstream: str
+    service: str
+    verdict: Verdict
+    slots: int
+    in_flight: int
+    queued: int
+    latency_ms: float
+    failure_share: float
+    weight: float
+
+
+@attrs.frozen
+class MemberRecord:
+    """What the fleet knows about one instance.
+
+    The pair (incarnation, heartbeat) orders records of the same instance.
+    """
+
+    instance: str
+    incarnation: int
+    heartbeat: int
+    status: MemberStatus
+    host: str
+    peer_port: int
+    zone: str
+    region: str
+    table_version: int
+    upstreams: tuple[UpstreamDigest, ...] = attrs.field(
+        metadata={"item": UpstreamDigest}
+    )
+
+
+@attrs.frozen
+class Gossip:
+    """Records that the sender holds; `reply` asks for the receiver's own."""
+
+    sender: str
+    reply: bool
+    records: tuple[MemberRecord, ...] = attrs.field(metadata={"item": MemberRecord})
+
+
+@attrs.frozen
+class TableRequest:
+    """Asks a peer for the table if it holds a newer one."""
+
+    known_version: int
+
+
+@attrs.frozen
+class TableUpdate:
+    """Carries a whole table."""
+
+    version: int
+    text: str
+
+
+@attrs.frozen
+class QuarantineNotice:
+    """Spreads the fingerprint of a request that crashed an upstream."""
+
+    fingerprint: str
+    upstream: str
+    remaining_s: float
+
+
+Message = (
+    Hello
+    | Forward
+    | Relay
+    | BodyChunk
+    | Cancel
+    | AnswerHead
+    | AnswerChunk
+    | Refusal
+    | Gossip
+    | TableRequest
+    | TableUpdate
+    | QuarantineNotice
+)
--- /dev/null
+++ b/chicorychute/core/outcomes.py
@@ -0,0 +1,80 @@
+"""Outcomes that a caller is told, and the reasons for a refusal."""
+
+import enum
+
+import attrs
+
+
+class Outcome(enum.Enum):
+    """Truth about whether an upstream ran a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Cause of an answer that no upstream gave."""
+
+    BAD_REQUEST = "bad-request"
+    NO_ROUTE = "no-route"
+    NO_TABLE = "no-table"
+    TOO_LARGE = "too-large"
+    DEADLINE = "deadline"
+    OVERLOAD = "overload"
+    RATE = "rate"
+    NO_UPSTREAM = "no-upstream"
+    RETRY_BUDGET = "retry-budget"
+    UPSTREAM_REFUSED = "upstream-refused"
+    UPSTREAM_LOST = "upstream-lost"
+    PEER_LOST = "peer-lost"
+    LEAVING = "leaving"
+    CANCELLED = "cancelled"
+    QUARANTINED = "quarantined"
+    KEY_REQUIRED = "key-required"
+    KEY_EXPIRED = "key-expired"
+    KEY_MISMATCH = "key-mismatch"
+    HOME_LOST = "home-lost"
+    LEDGER_FULL = "ledger-full"
+    ALREADY_RUNNING = "already-running"
+
+
+@attrs.frozen
+class ReasonSpec:
+    """HTTP status and remedy of one reason."""
+
+    status: int
+    remedy: str
+
+
+REASON_SPECS: dict[Reason, ReasonSpec] = {
+    Reason.BAD_REQUEST: ReasonSpec(400, "correct the request and send it again"),
+    Reason.NO_ROUTE: ReasonSpec(404, "use a path that a row of the table names"),
+    Reason.NO_TABLE: ReasonSpec(503, "send it again once the daemon is ready"),
+    Reason.TOO_LARGE: ReasonSpec(413, "send a smaller body"),
+    Reason.DEADLINE: ReasonSpec(504, "send it again with more time"),
+    Reason.OVERLOAD: ReasonSpec(503, "send it again later"),
+    Reason.RATE: ReasonSpec(429, "slow down, then send it again"),
+    Reason.NO_UPSTREAM: ReasonSpec(503, "send it again later"),
+    Reason.RETRY_BUDGET: ReasonSpec(503, "send it again later"),
+    Reason.UPSTREAM_REFUSED: ReasonSpec(503, "send it again later"),
+    Reason.UPSTREAM_LOST: ReasonSpec(502, "ask again with the same key"),
+    Reason.PEER_LOST: ReasonSpec(502, "ask again with the same key"),
+    Reason.LEAVING: ReasonSpec(503, "send it to another instance"),
+    Reason.CANCELLED: ReasonSpec(499, "send it again if it is still wanted"),
+    Reason.QUARANTINED: ReasonSpec(422, "change the request: it crashes upstreams"),
+    Reason.KEY_REQUIRED: ReasonSpec(
+        428, "send it again with Idempotency-Key: <Chute-Home>/<unique part>"
+    ),
+    Reason.KEY_EXPIRED: ReasonSpec(
+        409, "find out whether the order ran before placing it under a new key"
+    ),
+    Reason.KEY_MISMATCH: ReasonSpec(
+        422, "use a new unique part: this key names a different request"
+    ),
+    Reason.HOME_LOST: ReasonSpec(
+        502, "find out whether the order ran before placing it under a new key"
+    ),
+    Reason.LEDGER_FULL: ReasonSpec(503, "send it again later"),
+    Reason.ALREADY_RUNNING: ReasonSpec(409, "ask again with the same key later"),
+}
--- /dev/null
+++ b/chicorychute/daemon.py
@@ -0,0 +1,238 @@
+"""Composition root: wires every part of one daemon."""
+
+import random
+import signal
+import threading
+from collections.abc import Callable
+
+import structlog
+
+from chicorychute.conf.settings import Settings
+from chicorychute.core.messages import (
+    PROTOCOL_VERSION,
+    AnswerChunk,
+    AnswerHead,
+    BodyChunk,
+    Cancel,
+    Forward,
+    Gossip,
+    Hello,
+    MemberRecord,
+    MemberStatus,
+    Message,
+    Refusal,
+    Relay,
+    TableRequest,
+    TableUpdate,
+)
+from chicorychute.core.system_clock import SystemClock
+from chicorychute.membership.view import MembershipView
+from chicorychute.orders.ledger import OrderLedger
+from chicorychute.pipeline import filters
+from chicorychute.pipeline.once import OrderHome
+from chicorychute.pipeline.values import chain
+from chicorychute.platform.base import PlatformBackend
+from chicorychute.platform.http import HttpPlatform
+from chicorychute.services.entry import EntryService
+from chicorychute.services.exchanges import Exchanges
+from chicorychute.services.fleet import FleetService
+from chicorychute.services.gate import GateService
+from chicorychute.services.peers import PeerService
+from chicorychute.services.status import StatusReport
+from chicorychute.services.tables import TableService
+from chicorychute.services.ticker import Ticker
+from chicorychute.table.rows import Table
+from chicorychute.telemetry.tracing import Tracing
+from chicorychute.transport.edge import EdgeApplication, EdgeServer
+from chicorychute.transport.links import Link, LinkHub
+from chicorychute.transport.operator import OperatorPages, OperatorServer
+
+QUEUE_TICK_S = 0.05
+PLATFORM_RETRY_S = 1.0
+DRAIN_POLL_S = 0.05
+LEAVE_SETTLE_S = 0.5  # peers' last sends arrive before the drain is judged
+
+logger = structlog.get_logger()
+
+
+class Daemon:
+    """One daemon, built from its settings and started by `run`."""
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._stop_asked = threading.Event()
+        self._build()
+
+    def _build(self) -> None:
+        get = self._settings.get
+        clock = self._clock
+        instance = get("instance", "id")
+        incarnation = int(clock.utc().timestamp() * 1000)
+        hello = Hello(
+            PROTOCOL_VERSION,
+            instance,
+            incarnation,
+            get("instance", "zone"),
+            get("instance", "region"),
+        )
+        tracing = Tracing(instance)
+        self._exchanges = Exchanges(clock)
+        self._hub = LinkHub(
+            hello,
+            (get("peer", "host"), get("peer", "port")),
+            clock,
+            self._on_message,
+            self._on_closed,
+        )
+        own = MemberRecord(
+            instance,
+            incarnation,
+            0,
+            MemberStatus.ALIVE,
+            get("peer", "host"),
+            self._hub.port,
+            hello.zone,
+            hello.region,
+            0,
+            (),
+        )
+        platform = _platform(self._settings)
+        suspect_after_s = get("gossip", "suspect_after_s").total_seconds()
+        view = MembershipView(own, suspect_after_s, clock, self._rng)
+        hub = self._get_hub
+        self._fleet = FleetService(view, platform, get("peer", "seeds"), hub)
+        self._gate = GateService(
+            self._settings.upstreams, clock, tracing, self._fleet.peer_digests
+        )
+        self._tables = TableService(platform, self._fleet, hub, self._on_table)
+        entry = EntryService(
+            self._gate, self._fleet, self._exchanges, hub, clock, self._rng
+        )
+        ledger = OrderLedger(instance, incarnation, clock)
+        home = OrderHome(ledger, entry.relay)
+        handle = chain(
+            [
+                filters.trace(tracing, "entry"),
+                filters.route(self._tables.routes),
+                filters.deadline(clock),
+                home.filter,
+            ],
+            entry.handle,
+        )
+        self._peers = PeerService(self._gate, clock, handle)
+        application = EdgeApplication(
+            handle, home.home, clock, get("edge", "max_body_bytes")
+        )
+        self._edge = EdgeServer(
+            application,
+            (get("edge", "host"), get("edge", "port")),
+            get("edge", "threads"),
+            get("edge", "max_header_bytes"),
+        )
+        report = StatusReport(self._fleet, self._tables, self._gate)
+        pages = OperatorPages(self._why_not_ready, report.as_json)
+        self._operator = OperatorServer(
+            pages, (get("operator", "host"), get("operator", "port"))
+        )
+        self._tickers = self._make_tickers(platform)
+
+    def _make_tickers(self, platform: PlatformBackend | None) -> list[Ticker]:
+        get = self._settings.get
+        gossip_s = get("gossip", "interval_s").total_seconds()
+        tickers = [
+            Ticker("gate", QUEUE_TICK_S, self._gate.tick),
+            Ticker("gossip", gossip_s, self._gossip),
+        ]
+        if platform is not None:
+            poll_s = get("platform", "poll_s").total_seconds()
+            tickers.append(Ticker("list", poll_s, self._fleet.read_list))
+            tickers.append(Ticker("watch", PLATFORM_RETRY_S, self._watch))
+        return tickers
+
+    def run(self) -> int:
+        """Serve until a signal asks to stop; returns the exit code."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        self._hub.start()
+        self._operator.start()
+        for ticker in self._tickers:
+            ticker.start()
+        self._edge.start()
+        logger.info("daemon: serving", instance=self._fleet.own().instance)
+        self._stop_asked.wait()
+        self._drain()
+        return 0
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self._stop_asked.set()
+
+    def _drain(self) -> None:
+        logger.info("daemon: leaving")
+        self._fleet.leave()
+        limit_s = self._settings.get("shutdown", "drain_limit_s").total_seconds()
+        end_s = self._clock.monotonic() + limit_s
+        self._pause(LEAVE_SETTLE_S)
+        while not self._gate.idle() and self._clock.monotonic() < end_s:
+            self._pause(DRAIN_POLL_S)
+        if not self._gate.idle():
+            logger.warning("daemon: requests were cut at the drain limit")
+        self._edge.stop()
+        for ticker in self._tickers:
+            ticker.stop()
+        self._operator.stop()
+        self._hub.stop()
+        logger.info("daemon: stopped")
+
+    def _pause(self, seconds: float) -> None:
+        threading.Event().wait(seconds)
+
+    def _get_hub(self) -> LinkHub:
+        return self._hub
+
+    def _gossip(self) -> None:
+        self._fleet.publish(self._tables.version, self._gate.digests())
+        self._fleet.gossip()
+        self._tables.repair()
+
+    def _watch(self) -> None:
+        while not self._stop_asked.is_set() and self._tables.watch():
+            pass
+
+    def _on_table(self, table: Table) -> None:
+        self._gate.apply(table)
+
+    def _why_not_ready(self) -> str:
+        if self._stop_asked.is_set():
+            return "leaving"
+        return "" if self._tables.version else "no table yet"
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        match message:
+            case Forward() | Relay():
+                self._peers.on_call(link, message)
+            case BodyChunk():
+                self._peers.on_body(link, message)
+            case Cancel():
+                self._peers.on_cancel(link, message)
+            case AnswerHead() | AnswerChunk() | Refusal():
+                self._exchanges.on_part(link, message)
+            case Gossip():
+                self._fleet.on_gossip(link, message)
+            case TableRequest():
+                self._tables.on_request(link, message)
+            case TableUpdate():
+                self._tables.on_update(message)
+
+    def _on_closed(self, link: Link) -> None:
+        self._exchanges.on_closed(link)
+        self._peers.on_closed(link)
+
+
+def _platform(settings: Settings) -> PlatformBackend | None:
+    makers: dict[str, Callable[[], PlatformBackend | None]] = {
+        "http": lambda: HttpPlatform(settings.get("platform", "url")),
+        "none": lambda: None,
+    }
+    return makers[settings.get("platform", "backend")]()
--- /dev/null
+++ b/chicorychute/health/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence on an upstream and the verdict that follows from it."""
--- /dev/null
+++ b/chicorychute/membership/__init__.py
@@ -0,0 +1,1 @@
+"""View of the fleet's instances, kept by gossip and the platform's list."""
--- /dev/null
+++ b/chicorychute/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that a request passes, in one explicit order."""
--- /dev/null
+++ b/chicorychute/pipeline/filters.py
@@ -0,0 +1,60 @@
+"""Filters before dispatch: tracing, route and deadline."""
+
+from collections.abc import Callable
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import Filter, Handler, Refused, Reply, Request
+from chicorychute.table.routes import RouteIndex
+from chicorychute.telemetry.tracing import Tracing
+
+
+def trace(tracing: Tracing, name: str) -> Filter:
+    """Open a span around the request and pass its traceparent on."""
+
+    def make(handler: Handler) -> Handler:
+        def run(request: Request) -> Reply:
+            with tracing.span(name, request.traceparent) as traceparent:
+                request.traceparent = traceparent
+                return handler(request)
+
+        return run
+
+    return make
+
+
+def route(routes: Callable[[], RouteIndex | None]) -> Filter:
+    """Find the row of the request in the table in force."""
+
+    def make(handler: Handler) -> Handler:
+        def run(request: Request) -> Reply:
+            index = routes()
+            if index is None:
+                return Refused(Outcome.NOT_RUN, Reason.NO_TABLE)
+            request.row = index.find(request.method, request.path)
+            if request.row is None:
+                detail = f"no row has a route for {request.method} {request.path}"
+                return Refused(Outcome.NOT_RUN, Reason.NO_ROUTE, detail)
+            return handler(request)
+
+        return run
+
+    return make
+
+
+def deadline(clock: Clock) -> Filter:
+    """Set the deadline from the row, or the caller's own if it is sooner."""
+
+    def make(handler: Handler) -> Handler:
+        def run(request: Request) -> Reply:
+            limit_ms = request.row.deadline_ms
+            if request.asked_ms is not None:
+                limit_ms = min(limit_ms, request.asked_ms)
+            request.deadline_s = request.received_s + limit_ms / 1000
+            if clock.monotonic() >= request.deadline_s:
+                return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
+            return handler(request)
+
+        return run
+
+    return make
--- /dev/null
+++ b/chicorychute/pipeline/values.py
@@ -0,0 +1,130 @@
+"""Request and reply as the filters see them."""
+
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+import attrs
+
+from chicorychute.core.messages import Headers
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.table.rows import Row
+
+
+class Body(Protocol):
+    """Bytes of an answer, to be read to the end or closed."""
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Return the iterator."""
+
+    def __next__(self) -> bytes:
+        """Return the next bytes.
+
+        Raises
+        ------
+        AnswerBroken
+            If the rest of the body was lost.
+        """
+
+    def close(self) -> None:
+        """Give the rest up."""
+
+
+class WholeBody:
+    """Body that is already in memory."""
+
+    def __init__(self, data: bytes):
+        self._data: bytes | None = data
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._data is None:
+            raise StopIteration
+        data, self._data = self._data, None
+        return data
+
+    def close(self) -> None:
+        """Drop the data."""
+        self._data = None
+
+
+@attrs.define
+class Request:
+    """One request at its entry.
+
+    Attributes
+    ----------
+    target : str
+        Path and query as sent.
+    deadline_s : float
+        Reading of the daemon's clock after which the answer is worthless.
+    asked_ms : float, optional
+        Time that the caller gives the request.
+    attempt : int
+        Sends to gates so far, counted across hops.
+    relayed : bool
+        Whether a peer passed the request on.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    team: str
+    key: str
+    traceparent: str
+    received_s: float
+    asked_ms: float | None = None
+    deadline_s: float = 0.0
+    row: Row | None = None
+    attempt: int = 0
+    relayed: bool = False
+
+    @property
+    def path(self) -> str:
+        """Target without its query."""
+        return self.target.partition("?")[0]
+
+
+@attrs.frozen
+class Answer:
+    """Upstream's answer; `chunks` raises AnswerBroken if it ends early.
+
+    Attributes
+    ----------
+    length : int
+        Length of the body in bytes, -1 where it is not known.
+    """
+
+    status: int
+    headers: Headers
+    length: int
+    chunks: Body
+    upstream: str = ""
+
+
+@attrs.frozen
+class Refused:
+    """End of a request without an upstream's answer."""
+
+    outcome: Outcome
+    reason: Reason
+    detail: str = ""
+
+
+Reply = Answer | Refused
+Handler = Callable[[Request], Reply]
+Filter = Callable[[Handler], Handler]
+
+
+class AnswerBroken(Exception):
+    """The rest of an answer's body was lost."""
+
+
+def chain(filters: list[Filter], last: Handler) -> Handler:
+    """Wrap `last` in `filters`, the first of them outermost."""
+    handler = last
+    for make in reversed(filters):
+        handler = make(handler)
+    return handler
--- /dev/null
+++ b/chicorychute/platform/base.py
@@ -0,0 +1,42 @@
+"""Interface of a platform backend."""
+
+import attrs
+from result import Result
+
+from chicorychute.core.exceptions import ChuteError
+
+
+class PlatformError(ChuteError):
+    """The platform could not be read."""
+
+
+@attrs.frozen
+class TableDocument:
+    """Published text of the operators' table."""
+
+    version: int
+    text: str
+
+
+@attrs.frozen
+class ListedInstance:
+    """One line of the platform's instance list."""
+
+    instance: str
+    host: str
+    peer_port: int
+    leaving: bool
+
+
+class PlatformBackend:
+    """Reads the platform; every call may block and none writes."""
+
+    def watch_table(
+        self, known_version: int, wait_s: float
+    ) -> Result[TableDocument | None, PlatformError]:
+        """Return a table newer than `known_version`, or None after `wait_s`."""
+        raise NotImplementedError
+
+    def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
+        """Return the platform's list, which lags behind reality."""
+        raise NotImplementedError
--- /dev/null
+++ b/chicorychute/platform/http.py
@@ -0,0 +1,86 @@
+"""Platform backend over HTTP.
+
+``GET /config/table?after=VERSION&wait=SECONDS`` answers 200 with JSON
+``{"version", "text"}`` or 304; ``GET /instances`` answers a JSON list of
+``{"instance", "host", "peer_port", "leaving"}``.
+"""
+
+import json
+
+import urllib3
+from result import Err, Ok, Result
+
+from chicorychute.platform.base import (
+    ListedInstance,
+    PlatformBackend,
+    PlatformError,
+    TableDocument,
+)
+
+READ_TIMEOUT_S = 5.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+class HttpPlatform(PlatformBackend):
+    """Reads a platform that serves its values over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Base URL without a trailing slash.
+    """
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(retries=False)
+        self.reads = 0
+
+    def watch_table(
+        self, known_version: int, wait_s: float
+    ) -> Result[TableDocument | None, PlatformError]:
+        """Wait for a table newer than `known_version`."""
+        path = f"/config/table?after={known_version}&wait={wait_s:g}"
+        match self._get(path, wait_s + READ_TIMEOUT_S):
+            case Ok(None):
+                return Ok(None)
+            case Ok(document):
+                try:
+                    version = int(document["version"])
+                    return Ok(TableDocument(version, str(document["text"])))
+                except (KeyError, TypeError, ValueError):
+                    return Err(_bad_answer(path))
+            case Err(error):
+                return Err(error)
+
+    def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
+        """Read the instance list."""
+        match self._get("/instances", READ_TIMEOUT_S):
+            case Ok(listed):
+                try:
+                    return Ok(tuple(ListedInstance(**item) for item in listed))
+                except TypeError:
+                    return Err(_bad_answer("/instances"))
+            case Err(error):
+                return Err(error)
+
+    def _get(self, path: str, timeout_s: float) -> Result[object, PlatformError]:
+        self.reads += 1
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            answer = self._pool.request("GET", self._url + path, timeout=timeout)
+        except urllib3.exceptions.HTTPError as error:
+            return Err(PlatformError(f"platform unreachable ({error})", "wait for it"))
+        if answer.status == 304:
+            return Ok(None)
+        if answer.status != 200:
+            return Err(
+                PlatformError(f"platform answered {answer.status}", "wait for it")
+            )
+        try:
+            return Ok(json.loads(answer.data))
+        except ValueError:
+            return Err(_bad_answer(path))
+
+
+def _bad_answer(path: str) -> PlatformError:
+    return PlatformError(f"platform gave a malformed {path}", "correct what it serves")
--- /dev/null
+++ b/chicorychute/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Record and replay of decisions on a virtual clock."""
--- /dev/null
+++ b/chicorychute/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the gate for a request, under the floor and the budgets."""
--- /dev/null
+++ b/chicorychute/services/__init__.py
@@ -0,0 +1,1 @@
+"""Running parts of a daemon: threads around the decision packages."""
--- /dev/null
+++ b/chicorychute/services/exchanges.py
@@ -0,0 +1,157 @@
+"""Requests that wait for a peer's answer."""
+
+import contextlib
+import itertools
+import queue
+import threading
+from collections.abc import Iterator
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import (
+    AnswerChunk,
+    AnswerHead,
+    BodyChunk,
+    Cancel,
+    Refusal,
+)
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.transport.links import Link, LinkError
+
+CHUNK_BYTES = 64 << 10
+
+AnswerPart = AnswerHead | AnswerChunk | Refusal
+
+
+def send_body_rest(link: Link, id: int, body: bytes) -> None:
+    """Send the chunks of `body` after the first.
+
+    Raises
+    ------
+    LinkError
+        If the link is lost.
+    """
+    for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+        data = body[start : start + CHUNK_BYTES]
+        link.send(BodyChunk(id, data, start + CHUNK_BYTES >= len(body)))
+
+
+class Exchange:
+    """One request sent to a peer and the parts of its answer."""
+
+    def __init__(self, id: int, link: Link):
+        self.id = id
+        self.link = link
+        self.parts: queue.SimpleQueue[AnswerPart] = queue.SimpleQueue()
+
+
+class Exchanges:
+    """Open exchanges by id; answers of any other id are dropped."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._ids = itertools.count(1)
+        self._lock = threading.Lock()
+        self._exchange_by_id: dict[int, Exchange] = {}
+
+    def open(self, link: Link) -> Exchange:
+        """Register a new exchange on `link`."""
+        exchange = Exchange(next(self._ids), link)
+        with self._lock:
+            self._exchange_by_id[exchange.id] = exchange
+        return exchange
+
+    def close(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        with self._lock:
+            self._exchange_by_id.pop(exchange.id, None)
+
+    def on_part(self, link: Link, part: AnswerPart) -> None:
+        """Hand a part to its exchange, if it came on the exchange's link."""
+        exchange = self._exchange_by_id.get(part.id)
+        if exchange is not None and exchange.link is link:
+            exchange.parts.put(part)
+
+    def on_closed(self, link: Link) -> None:
+        """End every exchange on a lost link as unknown."""
+        with self._lock:
+            lost = [e for e in self._exchange_by_id.values() if e.link is link]
+        for exchange in lost:
+            detail = "the link was lost before the whole answer came"
+            exchange.parts.put(
+                Refusal(exchange.id, Outcome.UNKNOWN, Reason.PEER_LOST, detail)
+            )
+
+    def wait(self, exchange: Exchange, deadline_s: float, upstream: str) -> Reply:
+        """Return the answer, whose chunks wait until `deadline_s` too."""
+        try:
+            part = self.next_part(exchange, deadline_s)
+        except queue.Empty:
+            self.close(exchange)
+            return Refused(Outcome.UNKNOWN, Reason.DEADLINE, "no answer in time")
+        match part:
+            case Refusal(_, outcome, reason, detail):
+                self.close(exchange)
+                return Refused(outcome, reason, detail)
+            case AnswerHead(_, status, headers, length):
+                chunks = _RemoteBody(self, exchange, part, deadline_s)
+                return Answer(status, headers, length, chunks, upstream)
+        self.close(exchange)
+        return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, "answer out of order")
+
+    def next_part(self, exchange: Exchange, deadline_s: float) -> AnswerPart:
+        """Return the next part of an answer.
+
+        Raises
+        ------
+        queue.Empty
+            If none comes before `deadline_s`.
+        """
+        left_s = max(0.0, deadline_s - self._clock.monotonic())
+        return exchange.parts.get(timeout=left_s)
+
+
+class _RemoteBody:
+    """Body whose chunks a peer sends; `close` tells the peer to stop."""
+
+    def __init__(
+        self,
+        exchanges: Exchanges,
+        exchange: Exchange,
+        head: AnswerHead,
+        deadline_s: float,
+    ):
+        self._exchanges = exchanges
+        self._exchange = exchange
+        self._deadline_s = deadline_s
+        self._first = head.body
+        self._last = head.last
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first:
+            data, self._first = self._first, b""
+            return data
+        if self._last:
+            self._exchanges.close(self._exchange)
+            raise StopIteration
+        try:
+            part = self._exchanges.next_part(self._exchange, self._deadline_s)
+        except queue.Empty as error:
+            self.close()
+            raise AnswerBroken("the answer stopped before its end") from error
+        if not isinstance(part, AnswerChunk):
+            self._exchanges.close(self._exchange)
+            raise AnswerBroken("the upstream was lost in mid answer")
+        self._last = part.last
+        return part.data
+
+    def close(self) -> None:
+        """Give the rest up."""
+        self._exchanges.close(self._exchange)
+        if not self._last:
+            self._last = True
+            with contextlib.suppress(LinkError):
+                self._exchange.link.send(Cancel(self._exchange.id))
--- /dev/null
+++ b/chicorychute/table/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' table of weights and limits: rows, parse and checks."""
--- /dev/null
+++ b/chicorychute/table/exceptions.py
@@ -0,0 +1,29 @@
+"""Errors of the operators' table."""
+
+import attrs
+
+
+@attrs.frozen
+class TableFault:
+    """One bad cell, with its place and the remedy.
+
+    Attributes
+    ----------
+    line : int
+        Line of the CSV text, from 1.
+    column : str
+        Header of the column, empty where the fault is of the whole row.
+    """
+
+    id: str
+    line: int
+    column: str
+    value: str
+    problem: str
+    hint: str
+
+    def __str__(self) -> str:
+        place = f"line {self.line}"
+        if self.column:
+            place += f", column {self.column}"
+        return f"{self.id}: {place}: {self.value!r} {self.problem}: {self.hint}"
--- /dev/null
+++ b/chicorychute/table/rows.py
@@ -0,0 +1,90 @@
+"""Rows of the operators' table and the table itself."""
+
+import enum
+
+import attrs
+
+
+class Repeat(enum.Enum):
+    """Whether a request may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+
+
+@attrs.frozen
+class Row:
+    """Policy for one rank of work of one service.
+
+    Attributes
+    ----------
+    routes : tuple of str
+        ``METHOD /path`` patterns; a trailing ``*`` matches any rest.
+    priority : int
+        Order of service, 1 is the most urgent.
+    share : float
+        Part of the slots guaranteed to the rank under load, 0 to 1.
+    target_ms, deadline_ms : float
+        Time wanted for an answer, and time after which it is worthless.
+    retry_share : float
+        Retries allowed as a share of the service's requests.
+    slots : int
+        Requests that one upstream runs at a time.
+    floor : float
+        Share of the service's upstreams that ejection leaves in rotation.
+    sensitivity : float
+        Balance of ejection: above 1 ejects sooner, below 1 later.
+    team_rate : float
+        Requests a second for each team at one gate, 0 for no limit.
+    cross_region_kbps : float
+        Budget of one daemon for this service beyond its region, in kilobytes
+        a second, 0 to stay inside.
+    """
+
+    service: str
+    rank: str
+    routes: tuple[str, ...]
+    priority: int
+    share: float
+    target_ms: float
+    deadline_ms: float
+    repeat: Repeat
+    retry_share: float
+    slots: int
+    floor: float
+    sensitivity: float
+    team_rate: float
+    cross_region_kbps: float
+
+
+@attrs.frozen
+class Table:
+    """Checked table of one version.
+
+    Attributes
+    ----------
+    text : str
+        CSV text that the rows were read from, as relayed to peers.
+    """
+
+    version: int
+    text: str
+    rows: tuple[Row, ...]
+    by_rank: dict[tuple[str, str], Row] = attrs.field(init=False, eq=False, repr=False)
+    by_service: dict[str, tuple[Row, ...]] = attrs.field(
+        init=False, eq=False, repr=False
+    )
+
+    @by_rank.default
+    def _index_by_rank(self) -> dict[tuple[str, str], Row]:
+        return {(row.service, row.rank): row for row in self.rows}
+
+    @by_service.default
+    def _index_by_service(self) -> dict[str, tuple[Row, ...]]:
+        grouped: dict[str, list[Row]] = {}
+        for row in self.rows:
+            grouped.setdefault(row.service, []).append(row)
+        return {
+            service: tuple(sorted(rows, key=lambda row: row.priority))
+            for service, rows in grouped.items()
+        }
--- /dev/null
+++ b/chicorychute/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and spans."""
--- /dev/null
+++ b/chicorychute/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: callers' edge, links between daemons, upstream client."""
--- /dev/null
+++ b/chicorychute/transport/codec.py
@@ -0,0 +1,115 @@
+"""Turns messages into CBOR arrays and back."""
+
+import enum
+from collections.abc import Callable
+from typing import Any, get_args
+
+import attrs
+import cbor2
+
+from chicorychute.core import messages
+from chicorychute.core.exceptions import ChuteError
+from chicorychute.core.messages import Message
+
+
+class CodecError(ChuteError):
+    """A frame is not a message of this protocol."""
+
+
+CLASSES: tuple[type, ...] = get_args(Message)
+_CODE_BY_CLASS = {cls: code for code, cls in enumerate(CLASSES, start=1)}
+_CLASS_BY_CODE = {code: cls for cls, code in _CODE_BY_CLASS.items()}
+
+
+def _keep(value: Any) -> Any:
+    return value
+
+
+def _packer(cls: type) -> Callable[[Any], list]:
+    names = [field.name for field in attrs.fields(cls)]
+    packs = [_pack_field(field) for field in attrs.fields(cls)]
+    if all(pack is _keep for pack in packs):
+        return lambda value: [getattr(value, name) for name in names]
+    pairs = list(zip(names, packs, strict=True))
+    return lambda value: [pack(getattr(value, name)) for name, pack in pairs]
+
+
+def _pack_field(field: attrs.Attribute) -> Callable[[Any], Any]:
+    item = field.metadata.get("item")
+    if item is not None:
+        pack = _packer(item)
+        return lambda values: [pack(value) for value in values]
+    if attrs.has(field.type):
+        return _packer(field.type)
+    if isinstance(field.type, type) and issubclass(field.type, enum.Enum):
+        return lambda value: value.value
+    return _keep
+
+
+def _unpacker(cls: type) -> Callable[[list], Any]:
+    unpacks = [_unpack_field(field) for field in attrs.fields(cls)]
+
+    def unpack(values: list) -> Any:
+        if not isinstance(values, list):
+            raise TypeError(values)
+        return cls(*[f(v) for f, v in zip(unpacks, values, strict=True)])
+
+    return unpack
+
+
+def _unpack_field(field: attrs.Attribute) -> Callable[[Any], Any]:
+    item = field.metadata.get("item")
+    if item is not None:
+        unpack = _unpacker(item)
+        return lambda values: tuple([unpack(value) for value in values])
+    if field.type is messages.Headers:
+        return lambda pairs: tuple([_header(pair) for pair in pairs])
+    if attrs.has(field.type):
+        return _unpacker(field.type)
+    if issubclass(field.type, enum.Enum):
+        return field.type
+    return _checked(field.type)
+
+
+def _header(pair: Any) -> tuple[str, str]:
+    name, value = pair
+    if not isinstance(name, str) or not isinstance(value, str):
+        raise TypeError(pair)
+    return name, value
+
+
+def _checked(kind: type) -> Callable[[Any], Any]:
+    accepted = (int, float) if kind is float else kind
+
+    def check(value: Any) -> Any:
+        if not isinstance(value, accepted):
+            raise TypeError(value)
+        return value
+
+    return check
+
+
+_PACK_BY_CLASS = {cls: _packer(cls) for cls in CLASSES}
+_UNPACK_BY_CODE = {code: _unpacker(cls) for code, cls in _CLASS_BY_CODE.items()}
+
+
+def encode(message: Message) -> bytes:
+    """Return the CBOR array ``[code, field, ...]`` of a message."""
+    cls = type(message)
+    return cbor2.dumps([_CODE_BY_CLASS[cls], *_PACK_BY_CLASS[cls](message)])
+
+
+def decode(frame: bytes) -> Message:
+    """Read one message.
+
+    Raises
+    ------
+    CodecError
+        If the frame is not CBOR or not a known message.
+    """
+    try:
+        code, *values = cbor2.loads(frame)
+        return _UNPACK_BY_CODE[code](values)
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+        problem = f"malformed frame ({error.__class__.__name__})"
+        raise CodecError(problem, "run the same release on every instance") from error
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and upstreams, for the demo and tests."""
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,95 @@
+"""Platform stand-in: a configuration service and a list of instances.
+
+Readers use ``GET /config/table?after=V&wait=S`` and ``GET /instances``. The
+operators of a demo or test use ``PUT /config/table`` (JSON version and text),
+``PUT /instances`` and ``PUT /outage`` (JSON true or false).
+"""
+
+import argparse
+import json
+import threading
+from urllib.parse import parse_qs
+
+from cheroot import wsgi
+
+SERVER_THREADS = 256
+
+
+class PlatformApplication:
+    """WSGI application of the platform."""
+
+    def __init__(self):
+        self._changed = threading.Condition()
+        self._table = {"version": 0, "text": ""}
+        self._instances: list[dict] = []
+        self._outage = False
+        self._reads = 0
+
+    def __call__(self, environ, start_response):
+        """Answer one call."""
+        path = environ["PATH_INFO"]
+        if environ["REQUEST_METHOD"] == "PUT":
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+            self._put(path, json.loads(environ["wsgi.input"].read(length)))
+            return _answer(start_response, "200 OK", {})
+        if path == "/reads":
+            return _answer(start_response, "200 OK", self._reads)
+        with self._changed:
+            self._reads += 1
+            if self._outage:
+                return _answer(start_response, "503 Outage", {})
+        if path == "/instances":
+            return _answer(start_response, "200 OK", self._instances)
+        return self._watch(parse_qs(environ["QUERY_STRING"]), start_response)
+
+    def _put(self, path: str, value) -> None:
+        with self._changed:
+            match path:
+                case "/config/table":
+                    self._table = value
+                case "/instances":
+                    self._instances = value
+                case "/outage":
+                    self._outage = value
+            self._changed.notify_all()
+
+    def _watch(self, query: dict, start_response):
+        after = int(query.get("after", ["0"])[0])
+        wait_s = float(query.get("wait", ["0"])[0])
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._outage or self._table["version"] > after, wait_s
+            )
+            if self._outage:
+                return _answer(start_response, "503 Outage", {})
+            if self._table["version"] > after:
+                return _answer(start_response, "200 OK", self._table)
+        start_response("304 Not Modified", [])
+        return []
+
+
+def _answer(start_response, status: str, value):
+    body = json.dumps(value).encode()
+    start_response(
+        status,
+        [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+    )
+    return [body]
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    options = parser.parse_args()
+    server = wsgi.Server(
+        ("127.0.0.1", options.port),
+        PlatformApplication(),
+        numthreads=SERVER_THREADS,
+        request_queue_size=512,
+    )
+    server.safe_start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,170 @@
+"""Upstream stand-in: slots, service times and faults that can be set.
+
+``POST /control`` takes JSON with any of the fields of `Faults`; ``GET /counts``
+answers what ran. Every other request is work.
+"""
+
+import argparse
+import json
+import os
+import random
+import threading
+import time
+from collections import Counter
+
+import attrs
+from cheroot import wsgi
+
+SERVER_THREADS = 360
+
+
+@attrs.define
+class Faults:
+    """Faults of the upstream, all off at first.
+
+    Attributes
+    ----------
+    slow_factor : float
+        Multiplies the service time.
+    fail_share, hang_share, shed_share, empty_share : float
+        Parts of the requests, 0 to 1, answered 500, never, 503 or without body.
+    crash_marker : str
+        Text in a body that ends the process.
+    answer_bytes : int
+        Length of the answer's body, 0 for a short JSON text.
+    """
+
+    slow_factor: float = 1.0
+    fail_share: float = 0.0
+    hang_share: float = 0.0
+    shed_share: float = 0.0
+    empty_share: float = 0.0
+    cold_s: float = 0.0
+    crash_marker: str = "crash-upstream"
+    answer_bytes: int = 0
+
+
+class UpstreamApplication:
+    """WSGI application of one upstream."""
+
+    def __init__(self, name: str, service_ms: float, slots: int, seed: int):
+        self._name = name
+        self._service_s = service_ms / 1000
+        self._slots = slots
+        self._rng = random.Random(seed)
+        self._lock = threading.Lock()
+        self._faults = Faults()
+        self._started_s = time.monotonic()
+        self._running = 0
+        self._counts: Counter[str] = Counter()
+        self._runs_by_key: Counter[str] = Counter()
+        self._traceparents: set[str] = set()
+        self._most_running = 0
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        path = environ["PATH_INFO"]
+        if path == "/control":
+            self._faults = attrs.evolve(self._faults, **json.loads(body))
+            return self._json(start_response, "200 OK", {})
+        if path == "/counts":
+            return self._json(start_response, "200 OK", self._snapshot())
+        return self._work(environ, body, start_response)
+
+    def _work(self, environ, body: bytes, start_response):
+        faults = self._faults
+        with self._lock:
+            self._running += 1
+            self._most_running = max(self._most_running, self._running)
+            draw = self._rng.random()
+            jitter = self._rng.expovariate(1.0)
+            parent = environ.get("HTTP_TRACEPARENT")
+            if parent and len(self._traceparents) < 1000:
+                self._traceparents.add(parent.split("-")[1])
+        try:
+            if faults.crash_marker.encode() in body:
+                os._exit(1)
+            if draw < faults.hang_share:
+                time.sleep(3600)
+            time.sleep(self._service_time_s(faults, jitter))
+            if draw < faults.shed_share:
+                self._count("shed")
+                return self._json(start_response, "503 Busy", {"shed": True})
+            if draw < faults.fail_share:
+                self._count("failed")
+                return self._json(start_response, "500 Broken", {"failed": True})
+            self._record_run(environ)
+            if draw < faults.empty_share:
+                return self._bytes(start_response, "200 OK", b"")
+            if faults.answer_bytes:
+                return self._bytes(start_response, "200 OK", b"x" * faults.answer_bytes)
+            answer = {"upstream": self._name, "path": environ["PATH_INFO"]}
+            return self._json(start_response, "200 OK", answer)
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def _service_time_s(self, faults: Faults, jitter: float) -> float:
+        warm_s = time.monotonic() - self._started_s
+        cold = 4.0 if warm_s < faults.cold_s else 1.0
+        return self._service_s * (0.7 + 0.3 * jitter) * faults.slow_factor * cold
+
+    def _record_run(self, environ) -> None:
+        with self._lock:
+            self._counts["ran"] += 1
+            key = environ.get("HTTP_IDEMPOTENCY_KEY")
+            if key:
+                self._runs_by_key[key] += 1
+
+    def _count(self, name: str) -> None:
+        with self._lock:
+            self._counts[name] += 1
+
+    def _snapshot(self) -> dict:
+        with self._lock:
+            return {
+                "upstream": self._name,
+                "counts": dict(self._counts),
+                "runs_by_key": dict(self._runs_by_key),
+                "most_running": self._most_running,
+                "slots": self._slots,
+                "trace_ids": sorted(self._traceparents),
+            }
+
+    def _json(self, start_response, status: str, value: dict):
+        return self._bytes(start_response, status, json.dumps(value).encode())
+
+    def _bytes(self, start_response, status: str, body: bytes):
+        headers = [
+            ("Content-Type", "application/octet-stream"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(status, headers)
+        return [body]
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--service-ms", type=float, default=10.0)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    application = UpstreamApplication(
+        options.name, options.service_ms, options.slots, options.seed
+    )
+    server = wsgi.Server(
+        ("127.0.0.1", options.port),
+        application,
+        numthreads=SERVER_THREADS,
+        request_queue_size=512,
+    )
+    server.safe_start()
+
+
+if __name__ == "__main__":
+    main()
