--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Standing measurements that start processes or run long."""
