Bound gossip, prove silence by round trips and drain without cutting

Cause: every record went to two random peers each round, silence was taken from relayed heartbeats alone, LEAVING was undone by a later heartbeat, nobody could refute, dead instances stayed for ever, every daemon watched the platform, a dead peer held up the gossip round for two seconds, and the drain waited for the gate only. Ruled out: keeping silence as proof with a longer limit; a woken daemon would still accuse all, and the limit would grow with the fleet.

--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -130,6 +130,14 @@
         "0.1 to 3600 seconds",
         "Pause between reads of the instance list.",
     ),
+    Key(
+        "platform",
+        "start_spread_s",
+        _seconds(0, 600),
+        timedelta(seconds=1),
+        "0 to 600 seconds",
+        "Time over which the first reads of daemons that start at once spread.",
+    ),
     Key(
         "gossip",
         "interval_s",
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -182,6 +182,16 @@
     """What the fleet knows about one instance.
 
     The pair (incarnation, heartbeat) orders records of the same instance.
+
+    Attributes
+    ----------
+    table_hash : str
+        Hash of the content of the table in force.
+    services : tuple of str
+        Services of its upstreams.
+    whole : bool
+        Whether `upstreams` is given; it is left out for peers that share none
+        of the services.
     """
 
     instance: str
@@ -196,6 +206,9 @@
     upstreams: tuple[UpstreamDigest, ...] = attrs.field(
         metadata={"item": UpstreamDigest}
     )
+    table_hash: str = ""
+    services: tuple[str, ...] = ()
+    whole: bool = True
 
 
 @attrs.frozen
@@ -207,11 +220,28 @@
     records: tuple[MemberRecord, ...] = attrs.field(metadata={"item": MemberRecord})
 
 
+@attrs.frozen
+class ProbeRequest:
+    """Asks a peer to find out whether another instance lives."""
+
+    sender: str
+    target: str
+
+
+@attrs.frozen
+class TableAnnounce:
+    """Says which table the sender has in force."""
+
+    version: int
+    hash: str
+
+
 @attrs.frozen
 class TableRequest:
     """Asks a peer for the table if it holds a newer one."""
 
     known_version: int
+    known_hash: str = ""
 
 
 @attrs.frozen
@@ -244,4 +274,6 @@
     | TableRequest
     | TableUpdate
     | QuarantineNotice
+    | ProbeRequest
+    | TableAnnounce
 )
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -20,8 +20,10 @@
     MemberRecord,
     MemberStatus,
     Message,
+    ProbeRequest,
     Refusal,
     Relay,
+    TableAnnounce,
     TableRequest,
     TableUpdate,
 )
@@ -29,28 +31,31 @@
 from chicorychute.membership.view import MembershipView
 from chicorychute.orders.ledger import OrderLedger
 from chicorychute.pipeline import filters
+from chicorychute.pipeline.leaving import Leaving
 from chicorychute.pipeline.once import OrderHome
 from chicorychute.pipeline.values import chain
 from chicorychute.platform.base import PlatformBackend
 from chicorychute.platform.http import HttpPlatform
+from chicorychute.platform.pacing import ReadPace
+from chicorychute.services.drain import DrainService
 from chicorychute.services.entry import EntryService
 from chicorychute.services.exchanges import Exchanges
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
 from chicorychute.services.tables import TableService
 from chicorychute.services.ticker import Ticker
 from chicorychute.table.rows import Table
+from chicorychute.table.versions import TableVersions
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.edge import EdgeApplication, EdgeServer
 from chicorychute.transport.links import Link, LinkHub
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
-PLATFORM_RETRY_S = 1.0
-DRAIN_POLL_S = 0.05
-LEAVE_SETTLE_S = 0.5  # peers' last sends arrive before the drain is judged
+PLATFORM_TICK_S = 0.5
 
 logger = structlog.get_logger()
 
@@ -102,11 +107,33 @@
         suspect_after_s = get("gossip", "suspect_after_s").total_seconds()
         view = MembershipView(own, suspect_after_s, clock, self._rng)
         hub = self._get_hub
-        self._fleet = FleetService(view, platform, get("peer", "seeds"), hub)
+        senders = Senders(hub)
+        self._fleet = FleetService(
+            view,
+            platform,
+            get("peer", "seeds"),
+            senders,
+            self._pace(get("platform", "poll_s").total_seconds()),
+            self._rng,
+            self._on_listed_leaving,
+        )
         self._gate = GateService(
             self._settings.upstreams, clock, tracing, self._fleet.peer_digests
         )
-        self._tables = TableService(platform, self._fleet, hub, self._on_table)
+        self._tables = TableService(
+            TableVersions(clock),
+            platform,
+            self._fleet,
+            senders,
+            self._pace(0.0),
+            self._rng,
+            self._on_table,
+        )
+        leaving = Leaving(clock)
+        limit_s = get("shutdown", "drain_limit_s").total_seconds()
+        self._drain = DrainService(
+            leaving, self._fleet, self._gate, senders, limit_s, clock
+        )
         entry = EntryService(
             self._gate, self._fleet, self._exchanges, hub, clock, self._rng
         )
@@ -114,8 +141,10 @@
         home = OrderHome(ledger, entry.relay)
         handle = chain(
             [
+                leaving.count,
                 filters.trace(tracing, "entry"),
                 filters.route(self._tables.routes),
+                leaving.refuse,
                 filters.deadline(clock),
                 home.filter,
             ],
@@ -123,7 +152,11 @@
         )
         self._peers = PeerService(self._gate, clock, handle)
         application = EdgeApplication(
-            handle, home.home, clock, get("edge", "max_body_bytes")
+            handle,
+            home.home,
+            clock,
+            get("edge", "max_body_bytes"),
+            leaving.serving,
         )
         self._edge = EdgeServer(
             application,
@@ -146,11 +179,14 @@
             Ticker("gossip", gossip_s, self._gossip),
         ]
         if platform is not None:
-            poll_s = get("platform", "poll_s").total_seconds()
-            tickers.append(Ticker("list", poll_s, self._fleet.read_list))
-            tickers.append(Ticker("watch", PLATFORM_RETRY_S, self._watch))
+            tickers.append(Ticker("list", PLATFORM_TICK_S, self._fleet.read_list))
+            tickers.append(Ticker("watch", PLATFORM_TICK_S, self._watch))
         return tickers
 
+    def _pace(self, interval_s: float) -> ReadPace:
+        spread_s = self._settings.get("platform", "start_spread_s").total_seconds()
+        return ReadPace(interval_s, spread_s, self._clock, self._rng)
+
     def run(self) -> int:
         """Serve until a signal asks to stop; returns the exit code."""
         signal.signal(signal.SIGTERM, self._on_signal)
@@ -162,22 +198,19 @@
         self._edge.start()
         logger.info("daemon: serving", instance=self._fleet.own().instance)
         self._stop_asked.wait()
-        self._drain()
+        self._drain.run()
+        self._stop()
         return 0
 
     def _on_signal(self, number: int, frame: object) -> None:
+        if self._stop_asked.is_set():
+            self._drain.cut()
         self._stop_asked.set()
 
-    def _drain(self) -> None:
-        logger.info("daemon: leaving")
-        self._fleet.leave()
-        limit_s = self._settings.get("shutdown", "drain_limit_s").total_seconds()
-        end_s = self._clock.monotonic() + limit_s
-        self._pause(LEAVE_SETTLE_S)
-        while not self._gate.idle() and self._clock.monotonic() < end_s:
-            self._pause(DRAIN_POLL_S)
-        if not self._gate.idle():
-            logger.warning("daemon: requests were cut at the drain limit")
+    def _on_listed_leaving(self) -> None:
+        self._drain.leave()
+
+    def _stop(self) -> None:
         self._edge.stop()
         for ticker in self._tickers:
             ticker.stop()
@@ -185,20 +218,19 @@
         self._hub.stop()
         logger.info("daemon: stopped")
 
-    def _pause(self, seconds: float) -> None:
-        threading.Event().wait(seconds)
-
     def _get_hub(self) -> LinkHub:
         return self._hub
 
     def _gossip(self) -> None:
-        self._fleet.publish(self._tables.version, self._gate.digests())
+        self._fleet.publish(
+            self._tables.version, self._gate.digests(), self._tables.hash
+        )
         self._fleet.gossip()
         self._tables.repair()
 
     def _watch(self) -> None:
-        while not self._stop_asked.is_set() and self._tables.watch():
-            pass
+        if not self._stop_asked.is_set():
+            self._tables.watch()
 
     def _on_table(self, table: Table) -> None:
         self._gate.apply(table)
@@ -210,6 +242,8 @@
 
     def _on_message(self, link: Link, message: Message) -> None:
         match message:
+            case Forward() if self._drain.on_forward(link, message):
+                pass
             case Forward() | Relay():
                 self._peers.on_call(link, message)
             case BodyChunk():
@@ -220,10 +254,14 @@
                 self._exchanges.on_part(link, message)
             case Gossip():
                 self._fleet.on_gossip(link, message)
+            case ProbeRequest():
+                self._fleet.on_probe_request(message)
+            case TableAnnounce():
+                self._tables.on_announce(link, message)
             case TableRequest():
                 self._tables.on_request(link, message)
             case TableUpdate():
-                self._tables.on_update(message)
+                self._tables.on_update(link, message)
 
     def _on_closed(self, link: Link) -> None:
         self._exchanges.on_closed(link)
--- /dev/null
+++ b/chicorychute/platform/pacing.py
@@ -0,0 +1,46 @@
+"""Pace of reads of the platform: spread at start, backed off while it is down."""
+
+import random
+
+from chicorychute.core.clock import Clock
+
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 30.0
+
+
+class ReadPace:
+    """Says when the next read may start.
+
+    Parameters
+    ----------
+    interval_s : float
+        Pause between reads that succeed, varied by a quarter.
+    spread_s : float
+        Time over which the first reads of a fleet that starts at once spread.
+    """
+
+    def __init__(
+        self, interval_s: float, spread_s: float, clock: Clock, rng: random.Random
+    ):
+        self._interval_s = interval_s
+        self._clock = clock
+        self._rng = rng
+        self._pause_s = FIRST_PAUSE_S
+        self._next_s = clock.monotonic() + rng.uniform(0, spread_s)
+
+    def due(self) -> bool:
+        """Return whether a read may start now."""
+        return self._clock.monotonic() >= self._next_s
+
+    def succeeded(self) -> None:
+        """Plan the read after one that gave an answer."""
+        self._pause_s = FIRST_PAUSE_S
+        self._wait(self._interval_s * self._rng.uniform(0.75, 1.25))
+
+    def failed(self) -> None:
+        """Plan the read after one that failed or gave nothing of use."""
+        self._wait(self._rng.uniform(self._pause_s / 2, self._pause_s))
+        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+
+    def _wait(self, seconds: float) -> None:
+        self._next_s = self._clock.monotonic() + seconds
--- /dev/null
+++ b/chicorychute/services/drain.py
@@ -0,0 +1,97 @@
+"""Takes a daemon out of service without cutting a request."""
+
+import threading
+
+import structlog
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import Forward, Refusal
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.leaving import Leaving, Stage
+from chicorychute.services.fleet import FleetService
+from chicorychute.services.gate import GateService
+from chicorychute.services.senders import Senders
+from chicorychute.transport.links import Link
+
+SETTLE_S = 1.0  # peers hear of it and callers see their connections closed
+QUIET_S = 0.5
+POLL_S = 0.05
+
+logger = structlog.get_logger()
+
+
+class DrainService:
+    """Steps of a graceful stop: tell, settle, refuse, wait, report.
+
+    Parameters
+    ----------
+    limit_s : float
+        Longest wait for requests in flight.
+    """
+
+    def __init__(
+        self,
+        leaving: Leaving,
+        fleet: FleetService,
+        gate: GateService,
+        senders: Senders,
+        limit_s: float,
+        clock: Clock,
+    ):
+        self._leaving = leaving
+        self._fleet = fleet
+        self._gate = gate
+        self._senders = senders
+        self._limit_s = limit_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._cut = threading.Event()
+
+    def leave(self) -> None:
+        """Tell every peer at once; the daemon goes on answering."""
+        with self._lock:
+            if not self._leaving.serving():
+                return
+            self._leaving.stage = Stage.LEAVING
+        logger.info("daemon: leaving")
+        self._fleet.leave()
+
+    def cut(self) -> None:
+        """Wait no longer for requests in flight."""
+        self._cut.set()
+
+    def run(self) -> None:
+        """Leave, and return once nothing is in flight or the limit is over."""
+        end_s = self._clock.monotonic() + self._limit_s
+        self.leave()
+        self._cut.wait(min(SETTLE_S, self._limit_s))
+        self._leaving.stage = Stage.CLOSING
+        while not self._empty() and self._clock.monotonic() < end_s:
+            if self._cut.wait(POLL_S):
+                break
+        self._report()
+
+    def on_forward(self, link: Link, call: Forward) -> bool:
+        """Refuse a peer's request if the gate is closing; returns whether it did."""
+        if self._leaving.stage is not Stage.CLOSING:
+            return False
+        refusal = Refusal(call.id, Outcome.NOT_RUN, Reason.LEAVING, "")
+        self._senders.refuse(link, refusal)
+        return True
+
+    def _empty(self) -> bool:
+        return self._gate.idle() and self._leaving.quiet_s() >= QUIET_S
+
+    def _report(self) -> None:
+        digests = self._gate.digests()
+        running = sum(digest.in_flight for digest in digests)
+        waiting = sum(digest.queued for digest in digests)
+        entered = self._leaving.in_flight
+        if running or waiting or entered:
+            logger.warning(
+                "daemon: requests were cut",
+                by="a second signal" if self._cut.is_set() else "the drain limit",
+                answering=entered,
+                running=running,
+                waiting=waiting,
+            )
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -1,34 +1,39 @@
 """Keeps the view of the fleet by gossip and the platform's list."""
 
+import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
-from result import Ok
+from result import Err, Ok
 
 from chicorychute.core.messages import (
     Gossip,
     MemberRecord,
     MemberStatus,
+    ProbeRequest,
     UpstreamDigest,
 )
-from chicorychute.membership.view import MembershipView
-from chicorychute.platform.base import PlatformBackend
-from chicorychute.routing.candidates import Candidate, distance_between, live
-from chicorychute.transport.links import Link, LinkError, LinkHub
+from chicorychute.membership.readers import readers
+from chicorychute.membership.view import MembershipView, Send
+from chicorychute.platform.base import ListedInstance, PlatformBackend
+from chicorychute.platform.pacing import ReadPace
+from chicorychute.routing.candidates import Candidate, distance_between
+from chicorychute.services.senders import Address, Senders
+from chicorychute.transport.links import Link
 
 logger = structlog.get_logger()
 
-Address = tuple[str, int]
-
 
 class FleetService:
     """Thread-safe view of the fleet.
 
     Parameters
     ----------
-    hub : callable
-        Returns the hub of peer links, which is built after the fleet.
+    pace : ReadPace
+        Pace of the reads of the platform's list.
+    on_listed_leaving : callable
+        Called once when the platform's list tells the own instance to leave.
     """
 
     def __init__(
@@ -36,12 +41,19 @@
         view: MembershipView,
         platform: PlatformBackend | None,
         seeds: tuple[Address, ...],
-        hub: Callable[[], LinkHub],
+        senders: Senders,
+        pace: ReadPace,
+        rng: random.Random,
+        on_listed_leaving: Callable[[], None],
     ):
         self._view = view
         self._platform = platform
         self._seeds = set(seeds)
-        self._hub = hub
+        self._listed: frozenset[Address] = frozenset()
+        self._senders = senders
+        self._pace = pace
+        self._rng = rng
+        self._on_listed_leaving = on_listed_leaving
         self._lock = threading.Lock()
 
     def own(self) -> MemberRecord:
@@ -63,42 +75,61 @@
 
     def candidates(self, service: str) -> list[Candidate]:
         """Return the live upstreams of a service."""
-        own = self._view.own
         return [
-            Candidate(record.instance, digest, distance_between(own, record))
-            for record in live(self.snapshot())
+            Candidate(record.instance, digest, distance_between(self.own(), record))
+            for record in self.hosts(service)
             for digest in record.upstreams
             if digest.service == service
         ]
 
+    def hosts(self, service: str) -> list[MemberRecord]:
+        """Return the live instances beside which a service runs."""
+        with self._lock:
+            return [
+                record
+                for record in self._view.hosts(service)
+                if self._view.status_of(record.instance) is MemberStatus.ALIVE
+            ]
+
     def peer_digests(self, service: str) -> list[UpstreamDigest]:
         """Return the digests of a service's upstreams on other instances."""
         own = self._view.own.instance
         return [c.digest for c in self.candidates(service) if c.instance != own]
 
-    def publish(self, table_version: int, digests: tuple[UpstreamDigest, ...]) -> None:
+    def publish(
+        self,
+        table_version: int,
+        digests: tuple[UpstreamDigest, ...],
+        table_hash: str = "",
+    ) -> None:
         """Replace the own digests."""
         with self._lock:
-            self._view.publish(table_version, digests)
+            self._view.publish(table_version, digests, table_hash)
 
     def gossip(self) -> None:
         """Run one gossip round."""
         with self._lock:
-            partners, message = self._view.gossip_round()
-            addresses = {self._address(partner) for partner in partners}
-        known = {(r.host, r.peer_port) for r, _ in self.snapshot()}
-        for address in addresses | (self._seeds - known):
-            self._send(address, message)
+            sends = self._view.gossip_round()
+            greeting = self._view.message_for("", True)
+            stranger = self._stranger()
+        self._send_all(sends)
+        if stranger is not None:
+            self._senders.send(stranger, greeting)
 
     def on_gossip(self, link: Link, message: Gossip) -> None:
         """Merge a peer's records and answer if it asked."""
         with self._lock:
-            answer = self._view.on_gossip(message)
-        if answer is not None:
-            try:
-                link.send(answer)
-            except LinkError:
-                return
+            sends = self._view.on_gossip(message)
+        for send in sends:
+            if send.instance == message.sender:
+                self._senders.answer(link, send.message)
+        self._send_all(s for s in sends if s.instance != message.sender)
+
+    def on_probe_request(self, request: ProbeRequest) -> None:
+        """Ask an instance for a peer that got no answer from it."""
+        with self._lock:
+            sends = self._view.on_probe_request(request)
+        self._send_all(sends)
 
     def leave(self) -> None:
         """Tell every live peer that this instance takes no new work."""
@@ -106,31 +137,67 @@
             message = self._view.leave()
         for record, status in self.snapshot():
             if status is not MemberStatus.DEAD and record is not self._view.own:
-                self._send((record.host, record.peer_port), message)
+                self._senders.send((record.host, record.peer_port), message)
+
+    def reads_platform(self) -> bool:
+        """Return whether this daemon reads the platform for its zone."""
+        own = self._view.own
+        alive = [
+            record.instance
+            for record, status in self.snapshot()
+            if status is MemberStatus.ALIVE and record.zone == own.zone
+        ]
+        return own.instance in readers(alive)
 
     def read_list(self) -> None:
-        """Take peers to greet from the platform's list."""
+        """Read the platform's list if it is due and this daemon is a reader."""
+        if not self._pace.due() or not self.reads_platform():
+            return
         match self._platform.read_instances():
             case Ok(listed):
-                own = self._view.own.instance
-                for item in listed:
-                    if item.instance != own and not item.leaving:
-                        self._seeds.add((item.host, item.peer_port))
+                self._pace.succeeded()
+                self._take_list(listed)
+            case Err(error):
+                self._pace.failed()
+                logger.warning("fleet: the list can't be read", error=str(error))
 
-    def peers_ahead(self, table_version: int) -> list[Address]:
-        """Return the addresses of live peers that hold a newer table."""
-        return [
+    def _take_list(self, listed: tuple[ListedInstance, ...]) -> None:
+        own = self._view.own.instance
+        leaving = [item.instance for item in listed if item.leaving]
+        staying = [item.instance for item in listed if not item.leaving]
+        with self._lock:
+            must_leave = self._view.merge_list(leaving, staying)
+            self._listed = frozenset(
+                (item.host, item.peer_port)
+                for item in listed
+                if item.instance != own and not item.leaving
+            )
+        if must_leave:
+            self._on_listed_leaving()
+
+    def _stranger(self) -> Address | None:
+        """Return a listed or seed address at which no instance is known to live."""
+        known = {
             (record.host, record.peer_port)
-            for record, status in self.snapshot()
-            if record.table_version > table_version and status is MemberStatus.ALIVE
-        ]
-
-    def _address(self, instance: str) -> Address:
-        record = self._view.record_of(instance)
-        return (record.host, record.peer_port)
-
-    def _send(self, address: Address, message: Gossip) -> None:
-        try:
-            self._hub().link_to(address).send(message)
-        except LinkError as error:
-            logger.debug("fleet: gossip was not sent", error=str(error))
+            for record in self._view.records()
+            if self._view.status_of(record.instance) is not MemberStatus.DEAD
+        }
+        strangers = sorted((self._listed | self._seeds) - known)
+        return self._rng.choice(strangers) if strangers else None
+
+    def _send_all(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            self._send(send)
+
+    def _send(self, send: Send) -> None:
+        record = self.record_of(send.instance)
+        if record is None:
+            return
+        address = (record.host, record.peer_port)
+        self._senders.send(
+            address, send.message, lambda: self._unreachable(send.instance)
+        )
+
+    def _unreachable(self, instance: str) -> None:
+        with self._lock:
+            self._view.on_unreachable(instance)
--- a/chicorychute/services/tables.py
+++ b/chicorychute/services/tables.py
@@ -1,18 +1,29 @@
 """Keeps the newest table in force, from the platform or from peers."""
 
+import random
 import threading
 from collections.abc import Callable
 
 import structlog
 from result import Err, Ok
 
-from chicorychute.core.messages import TableRequest, TableUpdate
+from chicorychute.core.messages import (
+    MemberRecord,
+    MemberStatus,
+    Message,
+    TableAnnounce,
+    TableRequest,
+    TableUpdate,
+)
 from chicorychute.platform.base import PlatformBackend
+from chicorychute.platform.pacing import ReadPace
 from chicorychute.services.fleet import FleetService
-from chicorychute.table.parse import parse_table
+from chicorychute.services.senders import Senders
+from chicorychute.table.relay import Place, announce_targets, nearest_first
 from chicorychute.table.routes import RouteIndex
 from chicorychute.table.rows import Table
-from chicorychute.transport.links import Link, LinkError, LinkHub
+from chicorychute.table.versions import Offered, Ruling, TableVersions
+from chicorychute.transport.links import Link
 
 WATCH_WAIT_S = 10.0
 
@@ -24,82 +35,167 @@
 
     Parameters
     ----------
+    pace : ReadPace
+        Pace of the watch after it failed.
     on_table : callable
         Called with each table as it comes into force.
     """
 
     def __init__(
         self,
+        versions: TableVersions,
         platform: PlatformBackend | None,
         fleet: FleetService,
-        hub: Callable[[], LinkHub],
+        senders: Senders,
+        pace: ReadPace,
+        rng: random.Random,
         on_table: Callable[[Table], None],
     ):
+        self._versions = versions
         self._platform = platform
         self._fleet = fleet
-        self._hub = hub
+        self._senders = senders
+        self._pace = pace
+        self._rng = rng
         self._on_table = on_table
         self._lock = threading.Lock()
-        self._table: Table | None = None
         self._routes: RouteIndex | None = None
 
     @property
     def version(self) -> int:
         """Version in force, 0 before the first table."""
-        table = self._table
-        return 0 if table is None else table.version
+        return self._versions.key[0]
+
+    @property
+    def hash(self) -> str:
+        """Hash of the content in force."""
+        return self._versions.key[1]
+
+    @property
+    def conflicts(self) -> int:
+        """Contents seen under a version that holds another content too."""
+        return self._versions.conflicts
 
     def table(self) -> Table | None:
         """Return the table in force."""
-        return self._table
+        return self._versions.table
 
     def routes(self) -> RouteIndex | None:
         """Return the routes of the table in force."""
         return self._routes
 
     def watch(self) -> bool:
-        """Wait once for a newer table; returns False if the platform is down."""
-        match self._platform.watch_table(self.version, WATCH_WAIT_S):
+        """Wait once for a newer table, if this daemon is a reader and it is due.
+
+        Returns
+        -------
+        bool
+            Whether to go on waiting at once.
+        """
+        if not self._pace.due() or not self._fleet.reads_platform():
+            return False
+        known_version = self._versions.highest_seen
+        match self._platform.watch_table(known_version, WATCH_WAIT_S):
             case Ok(None):
+                self._pace.succeeded()
                 return True
-            case Ok(document):
-                self._take(document.version, document.text)
+            case Ok(document) if document.version > known_version:
+                self._pace.succeeded()
+                self._offer(document.version, document.text, None)
                 return True
+            case Ok(document):
+                self._pace.failed()
+                logger.warning(
+                    "table: the platform gave an older version than the known one",
+                    version=document.version,
+                    known=known_version,
+                )
+                self._offer(document.version, document.text, None)
+                return False
             case Err(error):
+                self._pace.failed()
                 logger.warning("table: platform is down", error=str(error))
                 return False
 
     def repair(self) -> None:
-        """Ask one peer that holds a newer table for it."""
-        for address in self._fleet.peers_ahead(self.version)[:1]:
-            try:
-                self._hub().link_to(address).send(TableRequest(self.version))
-            except LinkError as error:
-                logger.debug("table: peer was not asked", error=str(error))
+        """Ask the nearest peer that is known to hold a newer table for it."""
+        ahead = [
+            record
+            for record, status in self._fleet.snapshot()
+            if status is MemberStatus.ALIVE
+            and self._versions.wants(record.table_version, record.table_hash)
+        ]
+        if not ahead:
+            return
+        own = _place(self._fleet.own())
+        nearest = nearest_first(own, map(_place, ahead), self._rng)[0]
+        record = next(record for record in ahead if record.instance == nearest)
+        announce = TableAnnounce(record.table_version, record.table_hash)
+        with self._lock:
+            request = self._versions.on_announce(announce)
+        if request is not None:
+            self._send(nearest, request)
+
+    def on_announce(self, link: Link, announce: TableAnnounce) -> None:
+        """Ask the announcer for its table if it would be taken."""
+        with self._lock:
+            request = self._versions.on_announce(announce)
+        if request is not None:
+            self._senders.answer(link, request)
 
     def on_request(self, link: Link, request: TableRequest) -> None:
         """Send the table to a peer that holds an older one."""
-        table = self._table
-        if table is not None and table.version > request.known_version:
-            try:
-                link.send(TableUpdate(table.version, table.text))
-            except LinkError:
-                return
-
-    def on_update(self, update: TableUpdate) -> None:
+        update = self._versions.on_request(request)
+        if update is not None:
+            self._senders.answer(link, update)
+
+    def on_update(self, link: Link, update: TableUpdate) -> None:
         """Take a newer table from a peer."""
-        self._take(update.version, update.text)
+        peer = link.peer
+        source = Place(peer.instance, peer.zone, peer.region)
+        self._offer(update.version, update.text, source)
 
-    def _take(self, version: int, text: str) -> None:
+    def _offer(self, version: int, text: str, source: Place | None) -> None:
         with self._lock:
-            if version <= self.version:
-                return
-            match parse_table(version, text):
-                case Ok(table):
-                    self._table = table
-                    self._routes = RouteIndex(table)
-                    self._on_table(table)
-                    logger.info("table: version is in force", version=version)
-                case Err(faults):
-                    for fault in faults:
-                        logger.error("table: version was refused", fault=str(fault))
+            offered = self._versions.offer(version, text)
+            if offered.ruling is Ruling.TAKEN:
+                table = self._versions.table
+                self._routes = RouteIndex(table)
+                self._on_table(table)
+        self._log(version, offered)
+        if offered.ruling is Ruling.TAKEN:
+            self._announce(source)
+
+    def _announce(self, source: Place | None) -> None:
+        own = self._fleet.own()
+        others = [
+            _place(record)
+            for record, status in self._fleet.snapshot()
+            if status is not MemberStatus.DEAD and record.instance != own.instance
+        ]
+        announce = self._versions.announce()
+        for instance in announce_targets(_place(own), others, source, self._rng):
+            self._send(instance, announce)
+
+    def _send(self, instance: str, message: Message) -> None:
+        record = self._fleet.record_of(instance)
+        if record is not None:
+            self._senders.send((record.host, record.peer_port), message)
+
+    def _log(self, version: int, offered: Offered) -> None:
+        if offered.conflict:
+            logger.error(
+                "table: two contents stand under one version, publish a higher one",
+                version=version,
+                in_force=self.hash,
+            )
+        if offered.ruling is Ruling.TAKEN:
+            logger.info("table: version is in force", version=version)
+        for fault in offered.faults:
+            logger.error(
+                "table: version was refused", version=version, fault=str(fault)
+            )
+
+
+def _place(record: MemberRecord) -> Place:
+    return Place(record.instance, record.zone, record.region)
--- /dev/null
+++ b/chicorychute/table/relay.py
@@ -0,0 +1,57 @@
+"""Chooses the peers that are told of a new table, the same zone first."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+ZONE_FANOUT = 4
+
+
+@attrs.frozen
+class Place:
+    """Where an instance stands."""
+
+    instance: str
+    zone: str
+    region: str
+
+
+def announce_targets(
+    own: Place, others: Iterable[Place], source: Place | None, rng: random.Random
+) -> list[str]:
+    """Return the instances to tell of a table that was just taken.
+
+    A few of the own zone are always told. One of each other zone of the region
+    is told by those that took the table from outside their zone, and one of each
+    other region by those that took it from outside their region.
+
+    Parameters
+    ----------
+    source : Place, optional
+        Peer that gave the table, None for the platform.
+    """
+    same_zone: list[str] = []
+    by_zone: dict[str, list[str]] = {}
+    by_region: dict[str, list[str]] = {}
+    for place in others:
+        if place.region != own.region:
+            by_region.setdefault(place.region, []).append(place.instance)
+        elif place.zone != own.zone:
+            by_zone.setdefault(place.zone, []).append(place.instance)
+        else:
+            same_zone.append(place.instance)
+    targets = rng.sample(same_zone, min(ZONE_FANOUT, len(same_zone)))
+    if source is None or source.zone != own.zone:
+        targets.extend(rng.choice(group) for group in by_zone.values())
+    if source is None or source.region != own.region:
+        targets.extend(rng.choice(group) for group in by_region.values())
+    return targets
+
+
+def nearest_first(own: Place, places: Iterable[Place], rng: random.Random) -> list[str]:
+    """Return the instances by distance, in random order at the same distance."""
+    shuffled = list(places)
+    rng.shuffle(shuffled)
+    shuffled.sort(key=lambda p: (p.region != own.region, p.zone != own.zone))
+    return [place.instance for place in shuffled]
--- /dev/null
+++ b/chicorychute/table/versions.py
@@ -0,0 +1,141 @@
+"""Rules which table is in force: versions only rise, one content wins a version."""
+
+import enum
+import hashlib
+from collections import OrderedDict
+
+import attrs
+from result import Err, Ok
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import TableAnnounce, TableRequest, TableUpdate
+from chicorychute.table.exceptions import TableFault
+from chicorychute.table.parse import parse_table
+from chicorychute.table.rows import Table
+
+ASK_TIMEOUT_S = 1.0
+REFUSED_KEPT = 64
+HASH_BYTES = 8
+
+VersionKey = tuple[int, str]
+
+
+class Ruling(enum.Enum):
+    """What became of a table that was offered."""
+
+    TAKEN = "taken"
+    HELD = "held"
+    OLDER = "older"
+    REFUSED = "refused"
+    REFUSED_BEFORE = "refused-before"
+
+
+@attrs.frozen
+class Offered:
+    """Ruling on an offered table.
+
+    Attributes
+    ----------
+    conflict : bool
+        Whether another content is known under the same version.
+    faults : tuple of TableFault
+        Bad cells of a refused table.
+    """
+
+    ruling: Ruling
+    conflict: bool = False
+    faults: tuple[TableFault, ...] = ()
+
+
+def content_hash(text: str) -> str:
+    """Return the hash that tells two contents of one version apart."""
+    return hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).hexdigest()
+
+
+class TableVersions:
+    """Table in force of one daemon, and what it tells and asks its peers.
+
+    Where two contents stand under one version, the higher hash wins on every
+    daemon, whichever came first.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._table: Table | None = None
+        self._hash = ""
+        self._refused: OrderedDict[VersionKey, None] = OrderedDict()
+        self._conflicts: set[VersionKey] = set()
+        self._asked_until_s = float("-inf")
+
+    @property
+    def table(self) -> Table | None:
+        """Table in force, None before the first."""
+        return self._table
+
+    @property
+    def key(self) -> VersionKey:
+        """Version and hash in force, version 0 before the first."""
+        return (0 if self._table is None else self._table.version), self._hash
+
+    @property
+    def conflicts(self) -> int:
+        """Contents seen under a version that holds another content too."""
+        return len(self._conflicts)
+
+    @property
+    def highest_seen(self) -> int:
+        """Highest version in force or refused, after which to watch."""
+        return max([self.key[0], *(version for version, _ in self._refused)])
+
+    def wants(self, version: int, hash: str) -> bool:
+        """Return whether a peer's table would be taken."""
+        key = (version, hash)
+        return key > self.key and key not in self._refused
+
+    def offer(self, version: int, text: str) -> Offered:
+        """Check a table and put it in force if it goes before the own."""
+        key = (version, content_hash(text))
+        if key == self.key:
+            return Offered(Ruling.HELD)
+        conflict = version == self.key[0]
+        if conflict:
+            self._conflicts.add(key)
+        if key < self.key:
+            return Offered(Ruling.OLDER, conflict)
+        if key in self._refused:
+            return Offered(Ruling.REFUSED_BEFORE, conflict)
+        self._asked_until_s = float("-inf")
+        match parse_table(version, text):
+            case Ok(table):
+                self._table = table
+                self._hash = key[1]
+                return Offered(Ruling.TAKEN, conflict)
+            case Err(faults):
+                self._refuse(key)
+                return Offered(Ruling.REFUSED, conflict, tuple(faults))
+
+    def announce(self) -> TableAnnounce:
+        """Return the message that tells peers of the table in force."""
+        return TableAnnounce(*self.key)
+
+    def on_announce(self, announce: TableAnnounce) -> TableRequest | None:
+        """Return a question for the announcer, unless another is open."""
+        now_s = self._clock.monotonic()
+        if not self.wants(announce.version, announce.hash):
+            return None
+        if now_s < self._asked_until_s:
+            return None
+        self._asked_until_s = now_s + ASK_TIMEOUT_S
+        return TableRequest(*self.key)
+
+    def on_request(self, request: TableRequest) -> TableUpdate | None:
+        """Return the table for a peer that holds an older one."""
+        known = (request.known_version, request.known_hash)
+        if self._table is None or known >= self.key:
+            return None
+        return TableUpdate(self._table.version, self._table.text)
+
+    def _refuse(self, key: VersionKey) -> None:
+        self._refused[key] = None
+        if len(self._refused) > REFUSED_KEPT:
+            self._refused.popitem(last=False)
--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -64,6 +64,8 @@
         return lambda values: tuple([unpack(value) for value in values])
     if field.type is messages.Headers:
         return lambda pairs: tuple([_header(pair) for pair in pairs])
+    if field.type == tuple[str, ...]:
+        return lambda values: tuple([_text(value) for value in values])
     if attrs.has(field.type):
         return _unpacker(field.type)
     if issubclass(field.type, enum.Enum):
@@ -78,6 +80,12 @@
     return name, value
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(value)
+    return value
+
+
 def _checked(kind: type) -> Callable[[Any], Any]:
     accepted = (int, float) if kind is float else kind
 
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -27,6 +27,9 @@
         First handler of the pipeline.
     home : callable
         Returns the token under which orders may be placed here.
+    serving : callable
+        Returns False once the daemon leaves: answers then name no home and ask
+        callers to close their connections.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         home: Callable[[], str],
         clock: Clock,
         max_body_bytes: int,
+        serving: Callable[[], bool] = lambda: True,
     ):
+        self._serving = serving
         self._handle = handle
         self._home = home
         self._clock = clock
@@ -102,17 +107,22 @@
             ("Content-Length", str(len(body))),
             ("Chute-Outcome", refused.outcome.value),
             ("Chute-Reason", refused.reason.value),
-            ("Chute-Home", self._home()),
+            *self._stay_headers(),
         ]
         start_response(f"{spec.status} {refused.reason.value}", headers)
         return [body]
 
+    def _stay_headers(self) -> list[tuple[str, str]]:
+        if self._serving():
+            return [("Chute-Home", self._home())]
+        return [("Connection", "close")]
+
     def _answer(self, answer: Answer, start_response: Callable) -> Iterator[bytes]:
         headers = [*answer.headers]
         if answer.length >= 0:
             headers.append(("Content-Length", str(answer.length)))
         headers.append(("Chute-Outcome", Outcome.RAN.value))
-        headers.append(("Chute-Home", self._home()))
+        headers.extend(self._stay_headers())
         headers.append(("Chute-Upstream", answer.upstream))
         status = f"{answer.status} {STATUS_TEXT.get(answer.status, 'Status')}"
         start_response(status, headers)
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -27,6 +27,8 @@
     messages.TableRequest(3),
     messages.TableUpdate(4, "text"),
     messages.QuarantineNotice("f", "u1", 30.0),
+    messages.ProbeRequest("i1", "i2"),
+    messages.TableAnnounce(4, "00ff"),
 ]
 
 
