Keep the thread that reads peer links alive and unblocked

Cause: the reading thread ended on any exception that was not an OSError: a plain HTTP GET on the peer port (websockets raises InvalidState on the greeting), or a handler that raised. Sends held the link's lock inside a blocking sendall, which the reading thread needs too: two large bodies at once, one each way, ended both in timeouts, and a peer that stopped reading stalled every other link for 5 s. Ruled out: a writer thread for each link (a thread for each of thousands of peers); sendall outside the lock (frames of two senders would mix). Change: sockets are non-blocking; what the socket does not take waits in a buffer that the reading thread empties. Messages before Hello, a second Hello, another version, answers from the calling side and calls from the answering side each close the link with a cause for a counter. A newer incarnation ends links to the older one. Callers share one attempt at a peer that does not answer, where each waited its own 2 s in line before. Links are forgotten when they close.

--- a/chicorychute/transport/links.py
+++ b/chicorychute/transport/links.py
@@ -1,8 +1,9 @@
 """Websocket links between daemons, read by one thread and written by any.
 
-The `websockets` library gives the protocol without I/O; this module owns the
+The `websockets` library gives the protocol without I/O; this package owns the
 sockets. One selector thread reads every link, so that a daemon with thousands
-of peers needs no thread for each.
+of peers needs no thread for each. That thread never waits for a peer, and no
+fault of a link ends it.
 """
 
 import contextlib
@@ -10,113 +11,54 @@
 import socket
 import threading
 from collections.abc import Callable
+from concurrent.futures import Future
 
 import structlog
 from websockets.client import ClientProtocol
-from websockets.frames import Opcode
+from websockets.frames import Frame, Opcode
 from websockets.http11 import Request, Response
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
 from chicorychute.core.clock import Clock
-from chicorychute.core.exceptions import ChuteError
-from chicorychute.core.messages import PROTOCOL_VERSION, Hello, Message
-from chicorychute.transport.codec import CodecError, decode, encode
+from chicorychute.core.messages import (
+    PROTOCOL_VERSION,
+    AnswerChunk,
+    AnswerHead,
+    BodyChunk,
+    Cancel,
+    Forward,
+    Hello,
+    Message,
+    Refusal,
+    Relay,
+)
+from chicorychute.transport.codec import CodecError, decode
+from chicorychute.transport.link import (
+    SEND_TIMEOUT_S,
+    Link,
+    LinkClock,
+    LinkError,
+    LinkFault,
+)
+
+__all__ = ["Link", "LinkClock", "LinkError", "LinkFault", "LinkHub"]
 
 CONNECT_TIMEOUT_S = 2.0
-SEND_TIMEOUT_S = 5.0
+HELLO_TIMEOUT_S = 5.0
 READ_BYTES = 1 << 18
 MAX_FRAME_BYTES = 8 << 20
 POLL_S = 0.2
+CALLS = (Forward, Relay, BodyChunk, Cancel)
+ANSWERS = (AnswerHead, AnswerChunk, Refusal)
 
 logger = structlog.get_logger()
 
-
-class LinkError(ChuteError):
-    """A peer can't be reached, or a link to it is lost."""
-
-
-class LinkClock:
-    """Estimates how long a message waited on its way.
-
-    The least difference ever seen between the own reading at receipt and the
-    sender's reading stands for the clocks' offset; any excess is delay in
-    buffers or in a paused process. No clocks need to agree.
-    """
-
-    def __init__(self) -> None:
-        self._least_s: float | None = None
-
-    def delay_s(self, sent_s: float, received_s: float) -> float:
-        """Return the excess delay of a message in seconds."""
-        difference = received_s - sent_s
-        if self._least_s is None or difference < self._least_s:
-            self._least_s = difference
-        return difference - self._least_s
-
-
-class Link:
-    """One connection to a peer; `send` may be called from any thread."""
-
-    def __init__(self, sock: socket.socket, protocol: ClientProtocol | ServerProtocol):
-        self.sock = sock
-        self.protocol = protocol
-        self.peer: Hello | None = None
-        self.clock = LinkClock()
-        self.ready = threading.Event()
-        self.closed = False
-        self._lock = threading.Lock()
-
-    def send(self, message: Message) -> None:
-        """Write one message.
-
-        Raises
-        ------
-        LinkError
-            If the link is closed or the peer does not read in time.
-        """
-        frame = encode(message)
-        with self._lock:
-            if self.closed:
-                raise LinkError("link is closed", "choose another peer")
-            try:
-                self.protocol.send_binary(frame)
-                self._flush()
-            except (OSError, ValueError) as error:
-                self.abort()
-                raise LinkError(f"link broke ({error})", "choose another peer") from (
-                    error
-                )
-
-    def flush(self) -> None:
-        """Write what the protocol has ready, such as a handshake."""
-        with self._lock:
-            self._flush()
-
-    def receive(self, data: bytes) -> list:
-        """Feed bytes from the socket; returns the protocol's events."""
-        with self._lock:
-            if data:
-                self.protocol.receive_data(data)
-            else:
-                self.protocol.receive_eof()
-            events = self.protocol.events_received()
-            self._flush()
-            return events
-
-    def abort(self) -> None:
-        """Close the socket at once."""
-        self.closed = True
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-
-    def _flush(self) -> None:
-        for data in self.protocol.data_to_send():
-            if data:
-                self.sock.sendall(data)
+Handler = Callable[[Link, Message], None]
 
 
-Handler = Callable[[Link, Message], None]
+def _ignore(fault: LinkFault) -> None:
+    """Do nothing with a fault."""
 
 
 class LinkHub:
@@ -128,6 +70,8 @@
         Introduction sent on every link.
     on_message, on_closed : callable
         Called on the reading thread; they must not block.
+    on_fault : callable, optional
+        Told why this side closed a link.
     """
 
     def __init__(
@@ -137,18 +81,22 @@
         clock: Clock,
         on_message: Handler,
         on_closed: Callable[[Link], None],
+        on_fault: Callable[[LinkFault], None] = _ignore,
     ):
         self._own = own
         self._clock = clock
         self._on_message = on_message
         self._on_closed = on_closed
+        self._on_fault = on_fault
         self._selector = selectors.DefaultSelector()
         self._server = socket.create_server(address, backlog=512)
         self._server.setblocking(False)
         self._selector.register(self._server, selectors.EVENT_READ, None)
-        self._link_by_address: dict[tuple[str, int], Link] = {}
-        self._opening_by_address: dict[tuple[str, int], threading.Lock] = {}
         self._lock = threading.Lock()
+        self._links: set[Link] = set()
+        self._unnamed: set[Link] = set()
+        self._link_by_address: dict[tuple[str, int], Link] = {}
+        self._opening_by_address: dict[tuple[str, int], Future[Link]] = {}
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name="links", daemon=True)
 
@@ -169,6 +117,9 @@
     def link_to(self, address: tuple[str, int]) -> Link:
         """Return an open link to a peer, opening one if needed.
 
+        Callers that come while a link is being opened share its outcome, so
+        that a peer which does not answer costs each of them one wait.
+
         Raises
         ------
         LinkError
@@ -178,16 +129,27 @@
             link = self._link_by_address.get(address)
             if link is not None and not link.closed:
                 return link
-            opening = self._opening_by_address.setdefault(address, threading.Lock())
-        with opening:
-            with self._lock:
-                link = self._link_by_address.get(address)
-                if link is not None and not link.closed:
-                    return link
+            opening = self._opening_by_address.get(address)
+            first = opening is None
+            if first:
+                opening = self._opening_by_address[address] = Future()
+        if first:
+            self._open_for(address, opening)
+        return opening.result()
+
+    def _open_for(self, address: tuple[str, int], opening: Future[Link]) -> None:
+        try:
             link = self._open(address)
+        except BaseException as error:
             with self._lock:
+                del self._opening_by_address[address]
+            opening.set_exception(error)
+            return
+        with self._lock:
+            del self._opening_by_address[address]
+            if not link.closed:
                 self._link_by_address[address] = link
-            return link
+        opening.set_result(link)
 
     def _open(self, address: tuple[str, int]) -> Link:
         host, port = address
@@ -197,30 +159,55 @@
         except OSError as error:
             problem = f"can't reach peer {host}:{port} ({error})"
             raise LinkError(problem, remedy) from error
-        _prepare(sock)
         uri = parse_uri(f"ws://{host}:{port}/links")
         protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
-        link = Link(sock, protocol)
-        protocol.send_request(protocol.connect())
+        link = self._add(sock, protocol, address)
         try:
+            protocol.send_request(protocol.connect())
             link.flush()
         except OSError as error:
+            link.abort()
             raise LinkError(f"peer hung up ({error})", remedy) from error
-        self._selector.register(sock, selectors.EVENT_READ, link)
         if not link.ready.wait(CONNECT_TIMEOUT_S) or link.closed:
             link.abort()
             raise LinkError(f"peer {host}:{port} did not shake hands", remedy)
         return link
 
+    def _add(
+        self,
+        sock: socket.socket,
+        protocol: ClientProtocol | ServerProtocol,
+        address: tuple[str, int] | None = None,
+    ) -> Link:
+        _prepare(sock)
+        now_s = self._clock.monotonic()
+        link = Link(sock, protocol, self._watch, now_s, self._thread, address)
+        with self._lock:
+            self._links.add(link)
+            self._unnamed.add(link)
+        self._selector.register(sock, selectors.EVENT_READ, link)
+        return link
+
+    def _watch(self, link: Link, writable: bool) -> None:
+        events = selectors.EVENT_READ
+        if writable:
+            events |= selectors.EVENT_WRITE
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.modify(link.sock, events, link)
+
     def _run(self) -> None:
         while not self._stopping:
-            for key, _ in self._selector.select(POLL_S):
+            for key, mask in self._selector.select(POLL_S):
                 if key.data is None:
                     self._accept()
                 else:
-                    self._read(key.data)
-        for key in list(self._selector.get_map().values()):
-            key.fileobj.close()
+                    self._serve(key.data, mask)
+            self._drop_unnamed()
+        with self._lock:
+            links = list(self._links)
+        for link in links:
+            self._drop(link)
+        self._server.close()
         self._selector.close()
 
     def _accept(self) -> None:
@@ -228,23 +215,43 @@
             sock, _ = self._server.accept()
         except OSError:
             return
-        _prepare(sock)
-        link = Link(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
-        self._selector.register(sock, selectors.EVENT_READ, link)
+        self._add(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
+
+    def _drop_unnamed(self) -> None:
+        latest_s = self._clock.monotonic() - HELLO_TIMEOUT_S
+        with self._lock:
+            late = [link for link in self._unnamed if link.opened_s < latest_s]
+        for link in late:
+            link.fault = LinkFault.HANDSHAKE
+            self._drop(link)
 
-    def _read(self, link: Link) -> None:
+    def _serve(self, link: Link, mask: int) -> None:
         try:
-            data = link.sock.recv(READ_BYTES)
-            events = link.receive(data)
+            if mask & selectors.EVENT_WRITE:
+                link.resume()
+            over = mask & selectors.EVENT_READ and self._read(link)
         except OSError:
+            over = True
+        except Exception:
+            logger.exception("link: closed as a message could not be handled")
+            link.fault = LinkFault.HANDLER
+            over = True
+        if over or link.closed:
             self._drop(link)
-            return
-        for event in events:
+
+    def _read(self, link: Link) -> bool:
+        """Handle what has come; returns whether the link is over."""
+        try:
+            data = link.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return False
+        for event in link.receive(data):
+            if link.closed:
+                return True
             self._handle(link, event)
-        if not data or link.closed:
-            self._drop(link)
+        return link.is_over() or not data
 
-    def _handle(self, link: Link, event: object) -> None:
+    def _handle(self, link: Link, event: Request | Response | Frame) -> None:
         match event:
             case Request():
                 link.protocol.send_response(link.protocol.accept(event))
@@ -252,40 +259,79 @@
                 self._introduce(link)
             case Response():
                 self._introduce(link)
-            case _ if event.opcode is Opcode.BINARY:
+            case Frame(opcode=Opcode.BINARY):
                 self._handle_frame(link, event.data)
-            case _ if event.opcode is Opcode.TEXT:
-                link.abort()
+            case Frame(opcode=Opcode.TEXT | Opcode.CONT):
+                link.abort(LinkFault.MALFORMED)
 
     def _introduce(self, link: Link) -> None:
-        with contextlib.suppress(LinkError):
-            link.send(self._own)
+        if not link.is_over():
+            with contextlib.suppress(LinkError):
+                link.send(self._own)
 
     def _handle_frame(self, link: Link, frame: bytes) -> None:
         try:
             message = decode(bytes(frame))
-        except CodecError as error:
-            logger.warning("link: closed on a malformed frame", error=str(error))
-            link.abort()
+        except CodecError:
+            link.abort(LinkFault.MALFORMED)
+            return
+        fault = _misplaced(link, message)
+        if fault is not None:
+            link.abort(fault)
             return
         if isinstance(message, Hello):
-            if message.version != PROTOCOL_VERSION:
-                logger.warning("link: closed on another version", peer=message.instance)
-                link.abort()
-                return
-            link.peer = message
-            link.ready.set()
+            self._greet(link, message)
         self._on_message(link, message)
 
-    def _drop(self, link: Link) -> None:
-        link.closed = True
+    def _greet(self, link: Link, hello: Hello) -> None:
+        with self._lock:
+            self._unnamed.discard(link)
+            older = [
+                other
+                for other in self._links
+                if other.peer is not None
+                and other.peer.instance == hello.instance
+                and other.peer.incarnation < hello.incarnation
+            ]
+        for other in older:
+            other.abort(LinkFault.REPLACED)
+        link.peer = hello
         link.ready.set()
+
+    def _drop(self, link: Link) -> None:
+        with self._lock:
+            if link not in self._links:
+                return
+            self._links.discard(link)
+            self._unnamed.discard(link)
+            if self._link_by_address.get(link.address) is link:
+                del self._link_by_address[link.address]
         with contextlib.suppress(KeyError, ValueError):
             self._selector.unregister(link.sock)
-        link.sock.close()
-        self._on_closed(link)
+        link.close()
+        if link.fault is not None:
+            name = link.peer.instance if link.peer else "unknown"
+            logger.warning("link: closed", peer=name, cause=link.fault.value)
+        try:
+            if link.fault is not None:
+                self._on_fault(link.fault)
+            self._on_closed(link)
+        except Exception:
+            logger.exception("link: the end of a link could not be handled")
+
+
+def _misplaced(link: Link, message: Message) -> LinkFault | None:
+    if isinstance(message, Hello):
+        if link.peer is not None:
+            return LinkFault.SECOND_HELLO
+        return None if message.version == PROTOCOL_VERSION else LinkFault.VERSION
+    if link.peer is None:
+        return LinkFault.NO_HELLO
+    refused = CALLS if link.address is not None else ANSWERS
+    return LinkFault.WRONG_SIDE if isinstance(message, refused) else None
 
 
 def _prepare(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.settimeout(SEND_TIMEOUT_S)
+    timeout_ms = int(SEND_TIMEOUT_S * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
