Refuse values from peers that would do harm further on

Cause: decode took any float (nan poisons the estimate of a link's clock), bools as numbers, whole numbers without bound, and headers, keys and targets with line ends, which would reach the upstream's request or raise there. Change: the codec checks finite numbers, whole numbers within 63 bits, the status and the length of an answer, and text that goes into an HTTP head. Decoding a Forward took 20.0 us before and 24.5 us after, an AnswerHead 11.6 and 13.0, a Gossip of one record 29.5 and 30.6 (timeit, one run each on a busy machine).

--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -1,6 +1,12 @@
-"""Turns messages into CBOR arrays and back."""
+"""Turns messages into CBOR arrays and back.
+
+A peer may lie: `decode` takes no value that could do harm further on, such as
+a time that is not a number or a header that holds a line end.
+"""
 
 import enum
+import math
+import re
 from collections.abc import Callable
 from typing import Any, get_args
 
@@ -9,13 +15,28 @@
 
 from chicorychute.core import messages
 from chicorychute.core.exceptions import ChuteError
-from chicorychute.core.messages import Message
+from chicorychute.core.messages import AnswerHead, Message, Work
 
 
 class CodecError(ChuteError):
     """A frame is not a message of this protocol."""
 
 
+MAX_WHOLE = (1 << 63) - 1
+LINE = re.compile(r"[\t\x20-\x7e\x80-\xff]*").fullmatch  # fits in an HTTP header
+WORD = re.compile(r"[\x21-\x7e\x80-\xff]+").fullmatch  # fits in a request line
+PATTERN_BY_FIELD = {
+    (Work, "method"): WORD,
+    (Work, "target"): WORD,
+    (Work, "team"): LINE,
+    (Work, "key"): LINE,
+    (Work, "traceparent"): LINE,
+}
+RANGE_BY_FIELD = {
+    (AnswerHead, "status"): (100, 599),
+    (AnswerHead, "length"): (-1, MAX_WHOLE),
+}
+
 CLASSES: tuple[type, ...] = get_args(Message)
 _CODE_BY_CLASS = {cls: code for code, cls in enumerate(CLASSES, start=1)}
 _CLASS_BY_CODE = {code: cls for cls, code in _CODE_BY_CLASS.items()}
@@ -47,7 +68,7 @@
 
 
 def _unpacker(cls: type) -> Callable[[list], Any]:
-    unpacks = [_unpack_field(field) for field in attrs.fields(cls)]
+    unpacks = [_unpack_field(cls, field) for field in attrs.fields(cls)]
 
     def unpack(values: list) -> Any:
         if not isinstance(values, list):
@@ -57,7 +78,12 @@
     return unpack
 
 
-def _unpack_field(field: attrs.Attribute) -> Callable[[Any], Any]:
+def _unpack_field(cls: type, field: attrs.Attribute) -> Callable[[Any], Any]:
+    pattern = PATTERN_BY_FIELD.get((cls, field.name))
+    if pattern is not None:
+        return _matching(pattern)
+    if (cls, field.name) in RANGE_BY_FIELD:
+        return _whole(*RANGE_BY_FIELD[cls, field.name])
     item = field.metadata.get("item")
     if item is not None:
         unpack = _unpacker(item)
@@ -73,22 +99,58 @@
 
 def _header(pair: Any) -> tuple[str, str]:
     name, value = pair
-    if not isinstance(name, str) or not isinstance(value, str):
-        raise TypeError(pair)
+    if WORD(name) is None or LINE(value) is None:
+        raise ValueError(pair)
     return name, value
 
 
+def _matching(pattern: Callable[[str], Any]) -> Callable[[Any], str]:
+    def check(value: Any) -> str:
+        if pattern(value) is None:
+            raise ValueError(value)
+        return value
+
+    return check
+
+
+def _whole(low: int, high: int) -> Callable[[Any], int]:
+    def check(value: Any) -> int:
+        if type(value) is not int or not low <= value <= high:
+            raise ValueError(value)
+        return value
+
+    return check
+
+
+def _finite(value: Any) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError(value)
+    return value
+
+
 def _checked(kind: type) -> Callable[[Any], Any]:
-    accepted = (int, float) if kind is float else kind
+    if kind is int:
+        return _whole(-MAX_WHOLE, MAX_WHOLE)
+    if kind is float:
+        return _finite
 
     def check(value: Any) -> Any:
-        if not isinstance(value, accepted):
+        if not isinstance(value, kind):
             raise TypeError(value)
         return value
 
     return check
 
 
+MALFORMED = (
+    cbor2.CBORDecodeError,
+    KeyError,
+    MemoryError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _PACK_BY_CLASS = {cls: _packer(cls) for cls in CLASSES}
 _UNPACK_BY_CODE = {code: _unpacker(cls) for code, cls in _CLASS_BY_CODE.items()}
 
@@ -110,6 +172,6 @@
     try:
         code, *values = cbor2.loads(frame)
         return _UNPACK_BY_CODE[code](values)
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         problem = f"malformed frame ({error.__class__.__name__})"
         raise CodecError(problem, "run the same release on every instance") from error
