Refuse bad input at the callers' edge with its outcome

Cause: the server of the library takes repeated and signed lengths, joins or loses repeated headers, ignores the bodies of chunked requests, lets a sender take any time, and answers without an outcome; a malformed Chute-Deadline-Ms (nan) went on; an answer shorter than its head kept the connection, so that the next answer was read as its rest; a broken answer to an HTTP/1.0 caller ended cleanly. Ruled out: checks in the WSGI application alone (repeated headers and lengths are already gone there); a proxy-side buffer for HTTP/1.0 (memory). Change: transport/edge_request.py reads the head itself on top of the library's request class, a guard cuts off requests that take longer than [edge] read_limit_s, chunked bodies are read with their trailers, every refusal of the server carries Chute-Outcome and Chute-Reason, a broken answer ends in a reset, headers named Chute-* of an upstream are dropped, a handler that raises is told as unknown.

--- a/chicorychute/core/outcomes.py
+++ b/chicorychute/core/outcomes.py
@@ -20,6 +20,8 @@
     NO_ROUTE = "no-route"
     NO_TABLE = "no-table"
     TOO_LARGE = "too-large"
+    SLOW_REQUEST = "slow-request"
+    INTERNAL = "internal"
     DEADLINE = "deadline"
     OVERLOAD = "overload"
     RATE = "rate"
@@ -52,6 +54,8 @@
     Reason.NO_ROUTE: ReasonSpec(404, "use a path that a row of the table names"),
     Reason.NO_TABLE: ReasonSpec(503, "send it again once the daemon is ready"),
     Reason.TOO_LARGE: ReasonSpec(413, "send a smaller body"),
+    Reason.SLOW_REQUEST: ReasonSpec(408, "send the whole request without pauses"),
+    Reason.INTERNAL: ReasonSpec(500, "ask again with the same key, and report it"),
     Reason.DEADLINE: ReasonSpec(504, "send it again with more time"),
     Reason.OVERLOAD: ReasonSpec(503, "send it again later"),
     Reason.RATE: ReasonSpec(429, "slow down, then send it again"),
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -130,6 +130,7 @@
             (get("edge", "host"), get("edge", "port")),
             get("edge", "threads"),
             get("edge", "max_header_bytes"),
+            get("edge", "read_limit_s").total_seconds(),
         )
         report = StatusReport(self._fleet, self._tables, self._gate)
         pages = OperatorPages(self._why_not_ready, report.as_json)
--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -6,7 +6,6 @@
 
 import enum
 import math
-import re
 from collections.abc import Callable
 from typing import Any, get_args
 
@@ -15,6 +14,7 @@
 
 from chicorychute.core import messages
 from chicorychute.core.exceptions import ChuteError
+from chicorychute.core.lines import is_line, is_word
 from chicorychute.core.messages import AnswerHead, Message, Work
 
 
@@ -23,14 +23,12 @@
 
 
 MAX_WHOLE = (1 << 63) - 1
-LINE = re.compile(r"[\t\x20-\x7e\x80-\xff]*").fullmatch  # fits in an HTTP header
-WORD = re.compile(r"[\x21-\x7e\x80-\xff]+").fullmatch  # fits in a request line
 PATTERN_BY_FIELD = {
-    (Work, "method"): WORD,
-    (Work, "target"): WORD,
-    (Work, "team"): LINE,
-    (Work, "key"): LINE,
-    (Work, "traceparent"): LINE,
+    (Work, "method"): is_word,
+    (Work, "target"): is_word,
+    (Work, "team"): is_line,
+    (Work, "key"): is_line,
+    (Work, "traceparent"): is_line,
 }
 RANGE_BY_FIELD = {
     (AnswerHead, "status"): (100, 599),
@@ -99,7 +97,7 @@
 
 def _header(pair: Any) -> tuple[str, str]:
     name, value = pair
-    if WORD(name) is None or LINE(value) is None:
+    if is_word(name) is None or is_line(value) is None:
         raise ValueError(pair)
     return name, value
 
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -1,21 +1,55 @@
 """Callers' edge: a WSGI application grafted on CherryPy's tree."""
 
-import json
-from collections.abc import Callable, Iterator
+import http
+import re
+from collections.abc import Callable, Iterable, Iterator
 
 import cherrypy
+import structlog
 from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 from cherrypy.process.servers import ServerAdapter
 
 from chicorychute.core.clock import Clock
+from chicorychute.core.lines import is_word
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
-from chicorychute.pipeline.values import Answer, Handler, Refused, Request
+from chicorychute.pipeline.values import (
+    Answer,
+    AnswerBroken,
+    Body,
+    Handler,
+    Refused,
+    Request,
+)
+from chicorychute.transport.edge_request import (
+    EdgeConnection,
+    EdgeGateway,
+    EdgeRequest,
+    ReadGuard,
+    refusal_body,
+)
 from chicorychute.transport.upstream import HOP_BY_HOP
 
 OWN_HEADERS = frozenset(
     {"idempotency-key", "chute-deadline-ms", "chute-team", "traceparent"}
 )
-STATUS_TEXT = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+OWN_PREFIX = "chute-"
+MAX_KEY_CHARS = 512
+MAX_TEAM_CHARS = 128
+BODILESS_STATUSES = frozenset({204, 304})
+READ_BYTES = 64 << 10
+
+_is_duration = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?").fullmatch
+
+logger = structlog.get_logger()
+
+
+class TooLarge(Exception):
+    """The body of a request is above the limit."""
+
+
+def _ignore(reason: Reason) -> None:
+    """Do nothing with a refusal."""
 
 
 class EdgeApplication:
@@ -27,6 +61,8 @@
         First handler of the pipeline.
     home : callable
         Returns the token under which orders may be placed here.
+    on_refusal : callable, optional
+        Told the reason of each request that does not reach the pipeline.
     """
 
     def __init__(
@@ -35,37 +71,42 @@
         home: Callable[[], str],
         clock: Clock,
         max_body_bytes: int,
+        on_refusal: Callable[[Reason], None] = _ignore,
     ):
         self._handle = handle
         self._home = home
-        self._clock = clock
-        self._max_body_bytes = max_body_bytes
+        self.clock = clock
+        self.max_body_bytes = max_body_bytes
+        self.on_refusal = on_refusal
 
-    def __call__(self, environ: dict, start_response: Callable) -> Iterator[bytes]:
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request."""
-        received_s = self._clock.monotonic()
+        received_s = self.clock.monotonic()
+        exchange: EdgeRequest = environ["chute.request"]
         try:
             request = self._read(environ, received_s)
-        except ValueError as error:
-            refused = Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
-            return self._refuse(refused, start_response)
-        if request is None:
-            refused = Refused(Outcome.NOT_RUN, Reason.TOO_LARGE)
-            return self._refuse(refused, start_response)
-        match self._handle(request):
+        except (ValueError, OSError, TooLarge, MaxSizeExceeded) as error:
+            exchange.give_up_body()
+            refused = _refusal_of(error, exchange.late)
+            self.on_refusal(refused.reason)
+            return self._refuse(refused, environ, start_response)
+        exchange.finish_reading()
+        try:
+            reply = self._handle(request)
+        except Exception:
+            logger.exception("edge: a request failed inside the daemon")
+            reply = Refused(Outcome.UNKNOWN, Reason.INTERNAL)
+        match reply:
             case Refused() as refused:
-                return self._refuse(refused, start_response)
+                return self._refuse(refused, environ, start_response)
             case Answer() as answer:
-                return self._answer(answer, start_response)
+                return self._answer(answer, environ, start_response)
 
-    def _read(self, environ: dict, received_s: float) -> Request | None:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > self._max_body_bytes:
-            return None
-        body = environ["wsgi.input"].read(length) if length else b""
-        if len(body) < length:
-            raise ValueError("the body ended early")
-        target = environ.get("REQUEST_URI") or environ["PATH_INFO"]
+    def _read(self, environ: dict, received_s: float) -> Request:
+        target = environ["REQUEST_URI"]
+        if not is_word(target):
+            raise ValueError("the target holds a character that must be %-encoded")
+        body = self._read_body(environ)
         headers = []
         for name, value in environ.items():
             if name.startswith("HTTP_"):
@@ -74,29 +115,45 @@
                     headers.append((plain, value))
         if environ.get("CONTENT_TYPE"):
             headers.append(("content-type", environ["CONTENT_TYPE"]))
-        asked = environ.get("HTTP_CHUTE_DEADLINE_MS")
         return Request(
             environ["REQUEST_METHOD"],
             target,
             tuple(headers),
             body,
-            environ.get("HTTP_CHUTE_TEAM", ""),
-            environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+            _short(environ, "Chute-Team", MAX_TEAM_CHARS),
+            _short(environ, "Idempotency-Key", MAX_KEY_CHARS),
             environ.get("HTTP_TRACEPARENT", ""),
             received_s,
-            asked_ms=float(asked) if asked else None,
+            asked_ms=_duration_ms(environ, "Chute-Deadline-Ms"),
         )
 
-    def _refuse(self, refused: Refused, start_response: Callable) -> list[bytes]:
+    def _read_body(self, environ: dict) -> bytes:
+        stream = environ["wsgi.input"]
+        if environ["wsgi.input_terminated"]:
+            return self._read_chunks(stream)
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > self.max_body_bytes:
+            raise TooLarge
+        body = stream.read(length) if length else b""
+        if len(body) < length:
+            raise ValueError("the body ended early")
+        return body
+
+    def _read_chunks(self, stream) -> bytes:
+        body = bytearray()
+        while data := stream.read(READ_BYTES):
+            body += data
+            if len(body) > self.max_body_bytes:
+                raise TooLarge
+        for _ in stream.read_trailer_lines():
+            pass
+        return bytes(body)
+
+    def _refuse(
+        self, refused: Refused, environ: dict, start_response: Callable
+    ) -> list[bytes]:
         spec = REASON_SPECS[refused.reason]
-        body = json.dumps(
-            {
-                "outcome": refused.outcome.value,
-                "reason": refused.reason.value,
-                "detail": refused.detail,
-                "remedy": spec.remedy,
-            }
-        ).encode()
+        body = refusal_body(refused.outcome, refused.reason, refused.detail)
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
@@ -105,18 +162,110 @@
             ("Chute-Home", self._home()),
         ]
         start_response(f"{spec.status} {refused.reason.value}", headers)
-        return [body]
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
 
-    def _answer(self, answer: Answer, start_response: Callable) -> Iterator[bytes]:
-        headers = [*answer.headers]
+    def _answer(
+        self, answer: Answer, environ: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        bodiless = (
+            environ["REQUEST_METHOD"] == "HEAD" or answer.status in BODILESS_STATUSES
+        )
+        body = _AnswerBody(answer.chunks, -1 if bodiless else answer.length)
+        try:
+            body.fetch()
+        except AnswerBroken as error:
+            refused = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
+            return self._refuse(refused, environ, start_response)
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if not name.lower().startswith(OWN_PREFIX)
+        ]
         if answer.length >= 0:
             headers.append(("Content-Length", str(answer.length)))
         headers.append(("Chute-Outcome", Outcome.RAN.value))
         headers.append(("Chute-Home", self._home()))
         headers.append(("Chute-Upstream", answer.upstream))
-        status = f"{answer.status} {STATUS_TEXT.get(answer.status, 'Status')}"
-        start_response(status, headers)
-        return answer.chunks
+        start_response(f"{answer.status} {_phrase(answer.status)}", headers)
+        return body
+
+
+class _AnswerBody:
+    """Body of an answer that must be as long as its head says.
+
+    Parameters
+    ----------
+    length : int
+        Bytes that the head declares, -1 where any number is right.
+    """
+
+    def __init__(self, chunks: Body, length: int):
+        self._chunks = chunks
+        self._length = length
+        self._sent = 0
+        self._fetched: list[bytes] = []
+
+    def fetch(self) -> None:
+        """Read the first bytes, while the answer may still become a refusal."""
+        for chunk in self._chunks:
+            if chunk:
+                self._fetched.append(chunk)
+                return
+        self._check_end()
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        chunk = self._fetched.pop() if self._fetched else next(self._chunks, None)
+        if chunk is None:
+            self._check_end()
+            raise StopIteration
+        self._sent += len(chunk)
+        if 0 <= self._length < self._sent:
+            raise AnswerBroken("the answer is longer than its head says")
+        return chunk
+
+    def close(self) -> None:
+        """Give the rest up."""
+        self._chunks.close()
+
+    def _check_end(self) -> None:
+        if self._sent < self._length:
+            raise AnswerBroken("the answer is shorter than its head says")
+
+
+def _refusal_of(error: Exception, late: bool) -> Refused:
+    if late or isinstance(error, TimeoutError):
+        return Refused(Outcome.NOT_RUN, Reason.SLOW_REQUEST)
+    if isinstance(error, ValueError):
+        return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
+    if isinstance(error, (TooLarge, MaxSizeExceeded)) or "Large" in str(error):
+        return Refused(Outcome.NOT_RUN, Reason.TOO_LARGE)
+    return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, "the body ended early")
+
+
+def _short(environ: dict, name: str, limit: int) -> str:
+    value = environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+    if len(value) > limit:
+        raise ValueError(f"{name} is longer than {limit} characters")
+    return value
+
+
+def _duration_ms(environ: dict, name: str) -> float | None:
+    value = environ.get("HTTP_" + name.upper().replace("-", "_"))
+    if value is None:
+        return None
+    if not _is_duration(value):
+        raise ValueError(f"{name} must be a number of milliseconds, such as 250")
+    return float(value)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
 
 
 class EdgeServer:
@@ -128,6 +277,7 @@
         address: tuple[str, int],
         threads: int,
         max_header_bytes: int,
+        read_limit_s: float,
     ):
         cherrypy.config.update({"log.screen": False, "engine.autoreload.on": False})
         cherrypy.server.unsubscribe()
@@ -136,6 +286,13 @@
             address, cherrypy.tree, numthreads=threads, request_queue_size=512
         )
         self._server.max_request_header_size = max_header_bytes
+        self._server.max_request_body_size = application.max_body_bytes
+        self._server.ConnectionClass = EdgeConnection
+        self._server.gateway = EdgeGateway
+        self._server.error_log = _log_fault
+        self._server.on_refusal = application.on_refusal
+        self._guard = ReadGuard(application.clock, read_limit_s)
+        self._server.guard = self._guard
         self._adapter = ServerAdapter(cherrypy.engine, self._server, address)
 
     @property
@@ -145,9 +302,15 @@
 
     def start(self) -> None:
         """Listen for callers."""
+        self._guard.start()
         self._adapter.subscribe()
         cherrypy.engine.start()
 
     def stop(self) -> None:
         """Stop listening and end every connection."""
         cherrypy.engine.exit()
+        self._guard.stop()
+
+
+def _log_fault(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    logger.warning("edge: a connection failed", detail=msg)
