Keep every connection of the callers open

Cause: the server keeps at most 10 idle connections by default, so that with some 330 connections to a daemon nearly each answer closed its own; a new one costs the caller about 1 ms. Change: the limit is 4096. The test of slow senders now holds every thread. Measured: the new test failed before with Connection: close, and passes now (pytest tests/transport/test_edge.py, 61 passed).

--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -38,6 +38,7 @@
 MAX_TEAM_CHARS = 128
 BODILESS_STATUSES = frozenset({204, 304})
 READ_BYTES = 64 << 10
+KEPT_CONNECTIONS = 4096  # idle ones cost no thread
 
 _is_duration = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?").fullmatch
 
@@ -286,6 +287,7 @@
             address, cherrypy.tree, numthreads=threads, request_queue_size=512
         )
         self._server.max_request_header_size = max_header_bytes
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.max_request_body_size = application.max_body_bytes
         self._server.ConnectionClass = EdgeConnection
         self._server.gateway = EdgeGateway
--- a/tests/transport/test_edge.py
+++ b/tests/transport/test_edge.py
@@ -310,6 +310,21 @@
         caller.start()
     for caller in callers:
         caller.join(WAIT_S)
-    assert len(script.requests) == 4
+    assert len(script.requests) == len(callers)
     for sock in slow:
         sock.close()
+
+
+def test_every_connection_is_kept_for_its_next_request(script, port):
+    request = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+    connections = [socket.create_connection(("127.0.0.1", port)) for _ in range(30)]
+    for _ in range(2):
+        for sock in connections:
+            sock.settimeout(WAIT_S)
+            sock.sendall(request)
+            received = b""
+            while not received.endswith(b"ok"):
+                received += sock.recv(65536)
+            assert b"Connection: close" not in received
+    for sock in connections:
+        sock.close()
