--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -61,6 +61,13 @@
     return read
 
 
+def _share(value: str) -> float:
+    number = float(value)
+    if not 0 <= number <= 1:
+        raise ValueError(value)
+    return number
+
+
 def _one_of(*names: str) -> Callable[[str], str]:
     def read(value: str) -> str:
         if value not in names:
@@ -138,6 +145,14 @@
         "0.1 to 3600 seconds",
         "Pause between reads of the instance list.",
     ),
+    Key(
+        "platform",
+        "start_spread_s",
+        _seconds(0, 600),
+        timedelta(seconds=1),
+        "0 to 600 seconds",
+        "Time over which the first reads of daemons that start at once spread.",
+    ),
     Key(
         "gossip",
         "interval_s",
@@ -178,6 +193,22 @@
         "debug, info, warning or error",
         "Least level written.",
     ),
+    Key(
+        "trace",
+        "export",
+        _one_of("off", "log"),
+        "off",
+        "off or log",
+        "Where sampled spans go; off passes the caller's trace on unchanged.",
+    ),
+    Key(
+        "trace",
+        "ratio",
+        _share,
+        0.0,
+        "0 to 1",
+        "Share of traces sampled where the caller did not decide.",
+    ),
 )
 
 UPSTREAM_SECTION_PREFIX = "upstream:"
--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -30,8 +30,11 @@
             lines = "\n".join(str(fault) for fault in found.err_value)
             raise CommandError(lines, EXIT_BAD_INPUT)
         settings = found.ok_value
+        from chicorychute.core.system_clock import SystemClock
         from chicorychute.daemon import Daemon
         from chicorychute.telemetry.logs import configure_logs
 
-        configure_logs(settings.get("log", "format"), settings.get("log", "level"))
+        configure_logs(
+            settings.get("log", "format"), settings.get("log", "level"), SystemClock()
+        )
         return Daemon(settings).run()
--- /dev/null
+++ b/chicorychute/telemetry/instruments.py
@@ -0,0 +1,164 @@
+"""The instruments of a daemon, by name; `docs/ref/metrics.md` lists them."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import UpstreamDigest, Verdict
+from chicorychute.telemetry.metrics import Metrics
+from chicorychute.telemetry.requests import RequestStats
+from chicorychute.telemetry.tally import Labels, Tally
+
+UPSTREAM_LABELS = ("upstream", "service")
+
+
+@attrs.define
+class TableAge:
+    """Version in force and since when."""
+
+    clock: Clock
+    version: int = 0
+    since_s: float = 0.0
+
+    def note(self, version: int) -> None:
+        """Note that a version came into force now."""
+        self.version = version
+        self.since_s = self.clock.monotonic()
+
+    def age_s(self) -> float:
+        """Return the seconds since the version came into force."""
+        return self.clock.monotonic() - self.since_s if self.version else 0.0
+
+
+class VerdictWatch:
+    """Counts changes of the verdict on each upstream of the daemon."""
+
+    def __init__(self) -> None:
+        self.changes = Tally()
+        self._verdict_by_upstream: dict[str, Verdict] = {}
+
+    def observe(self, digests: Iterable[UpstreamDigest]) -> None:
+        """Compare the verdicts with those seen before."""
+        for digest in digests:
+            held = self._verdict_by_upstream.get(digest.upstream)
+            if held is not None and held is not digest.verdict:
+                self.changes.add(digest.upstream, digest.service, digest.verdict.value)
+            self._verdict_by_upstream[digest.upstream] = digest.verdict
+
+
+class Instruments:
+    """Tallies that the parts of a daemon raise, published as metrics."""
+
+    def __init__(self, instance: str, clock: Clock):
+        self.metrics = Metrics(instance, clock)
+        self.requests = RequestStats(clock)
+        self.edge_refusals = Tally()
+        self.link_faults = Tally()
+        self.link_bytes = Tally()
+        self.table = TableAge(clock)
+        self.verdicts = VerdictWatch()
+        self._publish_tallies()
+
+    def _publish_tallies(self) -> None:
+        metrics = self.metrics
+        metrics.latency(
+            "chute_request_seconds",
+            "Time from a caller's request to the head of its answer.",
+            ("service", "rank", "outcome"),
+            self.requests.latencies,
+        )
+        metrics.count(
+            "chute_refusals",
+            "Requests that ended without an upstream's answer.",
+            ("service", "rank", "reason"),
+            self.requests.refusals,
+        )
+        metrics.count(
+            "chute_retries",
+            "Sends to a further gate after the first.",
+            ("service",),
+            self.requests.retries,
+        )
+        metrics.count(
+            "chute_bad_requests",
+            "Requests refused before any route was looked up.",
+            ("reason",),
+            self.edge_refusals,
+        )
+        metrics.count(
+            "chute_link_faults",
+            "Links to peers that this daemon closed.",
+            ("cause",),
+            self.link_faults,
+        )
+        metrics.count(
+            "chute_link_bytes",
+            "Bytes of messages between daemons.",
+            ("direction", "message"),
+            self.link_bytes,
+        )
+        metrics.count(
+            "chute_verdict_changes",
+            "Changes of the verdict on an upstream; 'sick' is an ejection.",
+            (*UPSTREAM_LABELS, "verdict"),
+            self.verdicts.changes,
+        )
+        metrics.gauge(
+            "chute_table_version",
+            "Version of the table in force.",
+            (),
+            lambda: [((), self.table.version)],
+        )
+        metrics.gauge(
+            "chute_table_age_seconds",
+            "Time since the version came into force here.",
+            (),
+            lambda: [((), self.table.age_s())],
+        )
+
+    def publish_upstreams(
+        self, digests: Callable[[], Iterable[UpstreamDigest]]
+    ) -> None:
+        """Publish the load of the upstreams beside the daemon."""
+        for field, doc in (
+            ("slots", "Requests that the upstream may run at a time."),
+            ("in_flight", "Requests that it runs now."),
+            ("queued", "Requests that wait for a slot."),
+        ):
+            self.metrics.gauge(
+                f"chute_upstream_{field}", doc, UPSTREAM_LABELS, _field(digests, field)
+            )
+        self.metrics.gauge(
+            "chute_upstream_in_rotation",
+            "1 while the verdict is not sick, else 0.",
+            UPSTREAM_LABELS,
+            lambda: [
+                (_labels(digest), int(digest.verdict is not Verdict.SICK))
+                for digest in digests()
+            ],
+        )
+
+    def publish_platform_reads(self, reads: Callable[[], int]) -> None:
+        """Publish the number of reads of the platform."""
+        doc = "Reads of the configuration service and the instance list."
+        self.metrics.count_of("chute_platform_reads", doc, (), lambda: [((), reads())])
+
+    def publish_members(self, counts: Callable[[], dict[str, int]]) -> None:
+        """Publish the number of known instances by status."""
+        self.metrics.gauge(
+            "chute_instances",
+            "Instances in the view of this daemon.",
+            ("status",),
+            lambda: [((status,), count) for status, count in counts().items()],
+        )
+
+
+def _labels(digest: UpstreamDigest) -> Labels:
+    return digest.upstream, digest.service
+
+
+def _field(
+    digests: Callable[[], Iterable[UpstreamDigest]], field: str
+) -> Callable[[], list[tuple[Labels, float]]]:
+    return lambda: [(_labels(digest), getattr(digest, field)) for digest in digests()]
--- a/chicorychute/telemetry/tracing.py
+++ b/chicorychute/telemetry/tracing.py
@@ -1,46 +1,51 @@
 """Spans for each hop, carried by the W3C ``traceparent`` header."""
 
 import contextlib
+import random
+import re
 from collections.abc import Iterator
-
-from opentelemetry import trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+from typing import Protocol
 
 HEADER = "traceparent"
+NO_TRACE_ID = "0" * 32
+NO_SPAN_ID = "0" * 16
+
+_parse = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}").match
+
+
+class Tracing(Protocol):
+    """Opens the spans of one daemon."""
+
+    def span(
+        self, name: str, traceparent: str
+    ) -> contextlib.AbstractContextManager[str]:
+        """Open a span below `traceparent`; yields the traceparent to pass on."""
 
 
-class Tracing:
-    """Opens spans of one daemon.
+class PassThroughTracing:
+    """Passes the caller's trace on and records nothing.
 
-    Parameters
-    ----------
-    instance : str
-        Name of the instance, kept on every span.
-    ratio : float
-        Share of traces sampled where the caller did not decide.
+    A request without a valid trace gets a new one, so that the upstream's own
+    records of it can be told apart.
     """
 
-    def __init__(self, instance: str, ratio: float = 0.0):
-        resource = Resource.create(
-            {"service.name": "chicorychute", "service.instance.id": instance}
-        )
-        self.provider = TracerProvider(
-            resource=resource, sampler=ParentBased(TraceIdRatioBased(ratio))
-        )
-        self._tracer = self.provider.get_tracer("chicorychute")
-        self._propagator = TraceContextTextMapPropagator()
+    def __init__(self, rng: random.Random):
+        self._rng = rng
 
     @contextlib.contextmanager
     def span(self, name: str, traceparent: str) -> Iterator[str]:
-        """Open a span below `traceparent`; yields the traceparent to pass on."""
-        context = self._propagator.extract({HEADER: traceparent})
-        span = self._tracer.start_span(name, context)
-        carrier: dict[str, str] = {}
-        self._propagator.inject(carrier, trace.set_span_in_context(span, context))
-        try:
-            yield carrier.get(HEADER, traceparent)
-        finally:
-            span.end()
+        """Yield the caller's traceparent, or a new one that is not sampled."""
+        yield traceparent if is_valid(traceparent) else self._new()
+
+    def _new(self) -> str:
+        trace_id = self._rng.getrandbits(128) or 1
+        span_id = self._rng.getrandbits(64) or 1
+        return f"00-{trace_id:032x}-{span_id:016x}-00"
+
+
+def is_valid(traceparent: str) -> bool:
+    """Tell if a header names a trace and a parent."""
+    found = _parse(traceparent)
+    if found is None or found[1] == "ff":
+        return False
+    return found[2] != NO_TRACE_ID and found[3] != NO_SPAN_ID
--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -88,6 +88,8 @@
         return lambda values: tuple([unpack(value) for value in values])
     if field.type is messages.Headers:
         return lambda pairs: tuple([_header(pair) for pair in pairs])
+    if field.type == tuple[str, ...]:
+        return lambda values: tuple([_text(value) for value in values])
     if attrs.has(field.type):
         return _unpacker(field.type)
     if issubclass(field.type, enum.Enum):
@@ -126,6 +128,12 @@
     return value
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(value)
+    return value
+
+
 def _checked(kind: type) -> Callable[[Any], Any]:
     if kind is int:
         return _whole(-MAX_WHOLE, MAX_WHOLE)
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -62,6 +62,9 @@
         First handler of the pipeline.
     home : callable
         Returns the token under which orders may be placed here.
+    serving : callable
+        Returns False once the daemon leaves: answers then name no home and ask
+        callers to close their connections.
     on_refusal : callable, optional
         Told the reason of each request that does not reach the pipeline.
     """
@@ -72,8 +75,10 @@
         home: Callable[[], str],
         clock: Clock,
         max_body_bytes: int,
+        serving: Callable[[], bool] = lambda: True,
         on_refusal: Callable[[Reason], None] = _ignore,
     ):
+        self._serving = serving
         self._handle = handle
         self._home = home
         self.clock = clock
@@ -160,11 +165,16 @@
             ("Content-Length", str(len(body))),
             ("Chute-Outcome", refused.outcome.value),
             ("Chute-Reason", refused.reason.value),
-            ("Chute-Home", self._home()),
+            *self._stay_headers(),
         ]
         start_response(f"{spec.status} {refused.reason.value}", headers)
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
 
+    def _stay_headers(self) -> list[tuple[str, str]]:
+        if self._serving():
+            return [("Chute-Home", self._home())]
+        return [("Connection", "close")]
+
     def _answer(
         self, answer: Answer, environ: dict, start_response: Callable
     ) -> Iterable[bytes]:
@@ -185,7 +195,7 @@
         if answer.length >= 0:
             headers.append(("Content-Length", str(answer.length)))
         headers.append(("Chute-Outcome", Outcome.RAN.value))
-        headers.append(("Chute-Home", self._home()))
+        headers.extend(self._stay_headers())
         headers.append(("Chute-Upstream", answer.upstream))
         start_response(f"{answer.status} {_phrase(answer.status)}", headers)
         return body
--- a/chicorychute/transport/link.py
+++ b/chicorychute/transport/link.py
@@ -14,6 +14,7 @@
 
 from chicorychute.core.exceptions import ChuteError
 from chicorychute.core.messages import Hello, Message
+from chicorychute.telemetry.tally import Tally
 from chicorychute.transport.codec import encode
 
 SEND_TIMEOUT_S = 5.0
@@ -71,6 +72,8 @@
         Told whether to call `resume` once the socket takes bytes again.
     reader : threading.Thread
         Reads every link, so it must not wait on one.
+    traffic : Tally
+        Raised by the bytes of each message sent.
     address : tuple, optional
         Where this side opened the link to; None on an accepted one.
     """
@@ -82,6 +85,7 @@
         watch: Callable[["Link", bool], None],
         opened_s: float,
         reader: threading.Thread,
+        traffic: Tally,
         address: tuple[str, int] | None = None,
     ):
         sock.setblocking(False)
@@ -96,19 +100,15 @@
         self.fault: LinkFault | None = None
         self._watch = watch
         self._reader = reader
+        self._traffic = traffic
         self._room = threading.Condition()
         self._unsent: deque[memoryview] = deque()
         self._unsent_bytes = 0
         self._watching = False
 
-    def send(self, message: Message) -> int:
+    def send(self, message: Message) -> None:
         """Write one message, or keep it until the peer reads.
 
-        Returns
-        -------
-        int
-            Bytes of the message on the wire, without the frame's own head.
-
         Raises
         ------
         LinkError
@@ -126,7 +126,7 @@
                 self.abort()
                 problem = f"link broke ({error})"
                 raise LinkError(problem, "choose another peer") from error
-        return len(frame)
+        self._traffic.add("sent", type(message).__name__, count=len(frame))
 
     def flush(self) -> None:
         """Write what the protocol has ready, such as a handshake."""
--- a/chicorychute/transport/links.py
+++ b/chicorychute/transport/links.py
@@ -33,6 +33,7 @@
     Refusal,
     Relay,
 )
+from chicorychute.telemetry.tally import Tally
 from chicorychute.transport.codec import CodecError, decode
 from chicorychute.transport.link import (
     SEND_TIMEOUT_S,
@@ -72,6 +73,8 @@
         Called on the reading thread; they must not block.
     on_fault : callable, optional
         Told why this side closed a link.
+    traffic : Tally, optional
+        Raised by the bytes of each message, by direction and kind.
     """
 
     def __init__(
@@ -82,12 +85,14 @@
         on_message: Handler,
         on_closed: Callable[[Link], None],
         on_fault: Callable[[LinkFault], None] = _ignore,
+        traffic: Tally | None = None,
     ):
         self._own = own
         self._clock = clock
         self._on_message = on_message
         self._on_closed = on_closed
         self._on_fault = on_fault
+        self._traffic = Tally() if traffic is None else traffic
         self._selector = selectors.DefaultSelector()
         self._server = socket.create_server(address, backlog=512)
         self._server.setblocking(False)
@@ -181,7 +186,9 @@
     ) -> Link:
         _prepare(sock)
         now_s = self._clock.monotonic()
-        link = Link(sock, protocol, self._watch, now_s, self._thread, address)
+        link = Link(
+            sock, protocol, self._watch, now_s, self._thread, self._traffic, address
+        )
         with self._lock:
             self._links.add(link)
             self._unnamed.add(link)
@@ -279,6 +286,7 @@
         if fault is not None:
             link.abort(fault)
             return
+        self._traffic.add("received", type(message).__name__, count=len(frame))
         if isinstance(message, Hello):
             self._greet(link, message)
         self._on_message(link, message)
--- a/chicorychute/transport/operator.py
+++ b/chicorychute/transport/operator.py
@@ -6,11 +6,13 @@
 import cherrypy
 from cheroot import wsgi
 
+from chicorychute.telemetry.prometheus import CONTENT_TYPE
+
 OPERATOR_THREADS = 4
 
 
 class OperatorPages:
-    """Pages ``/live``, ``/ready`` and ``/status``.
+    """Pages ``/live``, ``/ready``, ``/status`` and ``/metrics``.
 
     Parameters
     ----------
@@ -18,11 +20,24 @@
         Returns an empty text if the daemon serves, else why it does not.
     status : callable
         Returns the status as JSON values.
+    metrics : callable
+        Returns the metrics as Prometheus text.
     """
 
-    def __init__(self, ready: Callable[[], str], status: Callable[[], dict]):
+    def __init__(
+        self,
+        ready: Callable[[], str],
+        status: Callable[[], dict],
+        metrics: Callable[[], str],
+    ):
         self._ready = ready
         self._status = status
+        self._metrics = metrics
+
+    @cherrypy.expose
+    def index(self) -> str:
+        """Name the pages."""
+        return "/live\n/ready\n/status\n/metrics\n"
 
     @cherrypy.expose
     def live(self) -> str:
@@ -44,6 +59,12 @@
         """Answer the status as JSON."""
         return self._status()
 
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Answer the metrics."""
+        cherrypy.response.headers["Content-Type"] = CONTENT_TYPE
+        return self._metrics().encode()
+
 
 class OperatorServer:
     """Small server for the operators' pages."""
@@ -51,6 +72,7 @@
     def __init__(self, pages: OperatorPages, address: tuple[str, int]):
         application = cherrypy.Application(pages, "")
         application.log.screen = False
+        application.merge({"/": {"request.show_tracebacks": False}})
         self._server = wsgi.Server(address, application, numthreads=OPERATOR_THREADS)
         self._thread = threading.Thread(
             target=self._server.serve, name="operator", daemon=True
--- a/tests/transport/test_edge.py
+++ b/tests/transport/test_edge.py
@@ -60,7 +60,7 @@
         lambda: "home@1.0",
         SystemClock(),
         MAX_BODY_BYTES,
-        lambda reason: holder["script"].refusals.append(reason),
+        on_refusal=lambda reason: holder["script"].refusals.append(reason),
     )
     edge = EdgeServer(application, ("127.0.0.1", 0), 8, MAX_HEAD_BYTES, 0.5)
     edge.start()
