Check settings together and tell each fault in one line

Cause: a URL of any form, ports used twice, an absent platform.url, a file without upstreams, names that break a home token and 0.0.0.0 as the address given to peers were accepted; [DEFAULT] leaked into every section; parse errors took several lines; faults came in an order that changed with each run. Change: conf/together.py checks values that only hold together; docs/ref/settings.md is written from the defaults (make reference) and a test compares it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready-dev
 
-.PHONY: demo test lint format check-format clean setup
+.PHONY: demo test lint format check-format clean setup reference
 
 setup: $(READY)
 
@@ -29,5 +29,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+reference: setup
+	$(BIN)/python -m chicorychute.conf.reference
+
 clean:
 	rm -rf .pytest_cache .ruff_cache build dist
--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -1,13 +1,21 @@
 """Every settings key with its default, unit and accepted values."""
 
 import math
+import re
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
+from urllib.parse import urlsplit
 
 import attrs
 
 REQUIRED = object()
+MAX_PORT = 65_535
+WILDCARD_HOSTS = ("0.0.0.0", "::")
+NAME = "letters, digits, '-', '_' and '.'"
+
+is_name = re.compile(r"[A-Za-z0-9_.-]{1,64}").fullmatch
+_is_host = re.compile(r"[A-Za-z0-9_.:%-]+").fullmatch
 
 
 @attrs.frozen
@@ -34,16 +42,47 @@
     return value
 
 
+def _name(value: str) -> str:
+    if is_name(value) is None:
+        raise ValueError(value)
+    return value
+
+
+def _host(value: str) -> str:
+    if _is_host(value) is None:
+        raise ValueError(value)
+    return value
+
+
+def _own_host(value: str) -> str:
+    if value in WILDCARD_HOSTS:
+        raise ValueError(value)
+    return _host(value)
+
+
+def _whole(value: str) -> int:
+    if not (value.isascii() and value.isdigit()):
+        raise ValueError(value)
+    return int(value)
+
+
 def _port(value: str) -> int:
-    port = int(value)
-    if not 0 <= port <= 65_535:
+    port = _whole(value)
+    if port > MAX_PORT:
+        raise ValueError(value)
+    return port
+
+
+def _peer_port(value: str) -> int:
+    port = _port(value)
+    if port == 0:
         raise ValueError(value)
     return port
 
 
 def _count(low: int, high: int) -> Callable[[str], int]:
     def read(value: str) -> int:
-        number = int(value)
+        number = _whole(value)
         if not low <= number <= high:
             raise ValueError(value)
         return number
@@ -51,21 +90,19 @@
     return read
 
 
-def _seconds(low: float, high: float) -> Callable[[str], timedelta]:
-    def read(value: str) -> timedelta:
+def _number(low: float, high: float) -> Callable[[str], float]:
+    def read(value: str) -> float:
         number = float(value)
         if not math.isfinite(number) or not low <= number <= high:
             raise ValueError(value)
-        return timedelta(seconds=number)
+        return number
 
     return read
 
 
-def _share(value: str) -> float:
-    number = float(value)
-    if not 0 <= number <= 1:
-        raise ValueError(value)
-    return number
+def _seconds(low: float, high: float) -> Callable[[str], timedelta]:
+    read_number = _number(low, high)
+    return lambda value: timedelta(seconds=read_number(value))
 
 
 def _one_of(*names: str) -> Callable[[str], str]:
@@ -81,15 +118,32 @@
     pairs = []
     for part in value.replace(",", " ").split():
         host, _, port = part.rpartition(":")
-        pairs.append((_text(host), _port(port)))
+        pairs.append((_host(host), _peer_port(port)))
     return tuple(pairs)
 
 
+def _url(value: str) -> str:
+    parts = urlsplit(value)
+    if parts.scheme != "http" or parts.username is not None:
+        raise ValueError(value)
+    if parts.query or parts.fragment or parts.port == 0:
+        raise ValueError(value)
+    _host(parts.hostname or "")
+    return value.rstrip("/")
+
+
+def _server_url(value: str) -> str:
+    url = _url(value)
+    if urlsplit(url).path:
+        raise ValueError(value)
+    return url
+
+
 KEYS: tuple[Key, ...] = (
-    Key("instance", "id", _text, REQUIRED, "a name", "Name of the instance."),
-    Key("instance", "zone", _text, REQUIRED, "a name", "Its availability zone."),
-    Key("instance", "region", _text, REQUIRED, "a name", "Its region."),
-    Key("edge", "host", _text, "127.0.0.1", "an address", "Listens for callers."),
+    Key("instance", "id", _name, REQUIRED, NAME, "Name of the instance."),
+    Key("instance", "zone", _name, REQUIRED, NAME, "Its availability zone."),
+    Key("instance", "region", _name, REQUIRED, NAME, "Its region."),
+    Key("edge", "host", _host, "127.0.0.1", "an address", "Listens for callers."),
     Key("edge", "port", _port, 8080, "0 to 65535", "Port for callers."),
     Key(
         "edge",
@@ -123,10 +177,17 @@
         "0.1 to 600 seconds",
         "Longest time for the head and body of a request to arrive.",
     ),
-    Key("peer", "host", _text, "127.0.0.1", "an address", "Address given to peers."),
+    Key(
+        "peer",
+        "host",
+        _own_host,
+        "127.0.0.1",
+        "an address of this instance, not 0.0.0.0",
+        "Listens for peers, and is the address given to them.",
+    ),
     Key("peer", "port", _port, 8081, "0 to 65535", "Port for peers."),
     Key("peer", "seeds", _addresses, (), "host:port ...", "Peers asked at start."),
-    Key("operator", "host", _text, "127.0.0.1", "an address", "For operators."),
+    Key("operator", "host", _host, "127.0.0.1", "an address", "For operators."),
     Key("operator", "port", _port, 8082, "0 to 65535", "Port for operators."),
     Key(
         "platform",
@@ -136,7 +197,14 @@
         "http or none",
         "Reader of the configuration service and the instance list.",
     ),
-    Key("platform", "url", str, "", "a URL", "Base URL of the platform."),
+    Key(
+        "platform",
+        "url",
+        _url,
+        "",
+        "http://host:port/path",
+        "Base URL of the platform; needed with backend http.",
+    ),
     Key(
         "platform",
         "poll_s",
@@ -204,7 +272,7 @@
     Key(
         "trace",
         "ratio",
-        _share,
+        _number(0, 1),
         0.0,
         "0 to 1",
         "Share of traces sampled where the caller did not decide.",
@@ -213,6 +281,13 @@
 
 UPSTREAM_SECTION_PREFIX = "upstream:"
 UPSTREAM_KEYS: tuple[Key, ...] = (
-    Key("upstream", "service", _text, REQUIRED, "a name", "Service it belongs to."),
-    Key("upstream", "url", _text, REQUIRED, "http://host:port", "Where it listens."),
+    Key("upstream", "service", _name, REQUIRED, NAME, "Service it belongs to."),
+    Key(
+        "upstream",
+        "url",
+        _server_url,
+        REQUIRED,
+        "http://host:port",
+        "Where it listens.",
+    ),
 )
--- a/chicorychute/conf/exceptions.py
+++ b/chicorychute/conf/exceptions.py
@@ -16,7 +16,10 @@
     hint: str
 
     def __str__(self) -> str:
-        place = f"{self.file}: [{self.section}]"
+        place = self.file
+        if self.section:
+            place += f": [{self.section}]"
         if self.key:
             place += f" {self.key}"
-        return f"{self.id}: {place}: {self.value!r} {self.problem}: {self.hint}"
+        value = f"{self.value!r} " if self.value else ""
+        return f"{self.id}: {place}: {value}{self.problem}: {self.hint}"
--- a/chicorychute/conf/settings.py
+++ b/chicorychute/conf/settings.py
@@ -1,7 +1,7 @@
 """Settings object of one daemon and its reader."""
 
 import configparser
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -11,15 +11,7 @@
 from chicorychute.conf import defaults
 from chicorychute.conf.defaults import Key
 from chicorychute.conf.exceptions import SettingFault
-
-
-@attrs.frozen
-class UpstreamSettings:
-    """One upstream beside the daemon."""
-
-    id: str
-    service: str
-    url: str
+from chicorychute.conf.together import UpstreamSettings, check_together
 
 
 @attrs.frozen
@@ -42,17 +34,26 @@
 
 def read_settings(path: Path) -> Result[Settings, list[SettingFault]]:
     """Read and check the INI file at `path`, reporting all faults at once."""
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
-        parser.read_string(path.read_text("utf-8"), source=str(path))
+        parser.read_string(path.read_text("utf-8-sig"), source=str(path))
+    except configparser.DuplicateOptionError as error:
+        return Err([_repeated(path, error.section, error.option, error.lineno)])
+    except configparser.DuplicateSectionError as error:
+        return Err([_repeated(path, error.section, "", error.lineno)])
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        problem = f"can't be read ({error.__class__.__name__}: {error})"
+        detail = " ".join(str(error).split())
+        problem = f"can't be read ({detail})"
         hint = "name a readable INI file in UTF-8"
-        fault = SettingFault("conf.E001", str(path), "", "", str(path), problem, hint)
-        return Err([fault])
+        return Err([SettingFault("conf.E001", str(path), "", "", "", problem, hint)])
     return _Reader(str(path), parser).read()
 
 
+def _repeated(path: Path, section: str, key: str, line: int) -> SettingFault:
+    problem = f"stands twice (line {line})"
+    return SettingFault("conf.E006", str(path), section, key, "", problem, "keep one")
+
+
 class _Reader:
     """Collects values and faults of one parsed file."""
 
@@ -63,26 +64,44 @@
 
     def read(self) -> Result[Settings, list[SettingFault]]:
         """Return the settings, or every fault."""
-        sections = {key.section for key in defaults.KEYS}
+        keys_by_section: dict[str, list[Key]] = {}
+        for key in defaults.KEYS:
+            keys_by_section.setdefault(key.section, []).append(key)
         values: dict[tuple[str, str], Any] = {}
-        for section in sections:
-            keys = [key for key in defaults.KEYS if key.section == section]
+        for section, keys in keys_by_section.items():
             found = self._read_section(section, keys)
             values.update({(section, name): value for name, value in found.items()})
+        upstreams = self._read_upstreams(keys_by_section.keys())
+        faults = [*self._faults, *check_together(self._file, values, upstreams)]
+        if faults:
+            return Err(faults)
+        return Ok(Settings(values, upstreams))
+
+    def _read_upstreams(self, known: Collection[str]) -> tuple[UpstreamSettings, ...]:
         upstreams = []
         for section in self._parser.sections():
             if section.startswith(defaults.UPSTREAM_SECTION_PREFIX):
-                upstreams.append(self._read_upstream(section))
-            elif section not in sections:
-                hint = "remove it or correct its name"
+                upstream = self._read_upstream(section)
+                if upstream is not None:
+                    upstreams.append(upstream)
+            elif section not in known:
+                hint = f"use one of {', '.join(known)} or upstream:ID"
                 self._fault("conf.E002", section, "", "", "is not a section", hint)
-        if self._faults:
-            return Err(self._faults)
-        return Ok(Settings(values, tuple(upstreams)))
+        if not any(
+            section.startswith(defaults.UPSTREAM_SECTION_PREFIX)
+            for section in self._parser.sections()
+        ):
+            hint = "add a section [upstream:ID] with its service and url"
+            self._fault("conf.E007", "upstream:ID", "", "", "is missing", hint)
+        return tuple(upstreams)
 
     def _read_upstream(self, section: str) -> UpstreamSettings | None:
         name = section.removeprefix(defaults.UPSTREAM_SECTION_PREFIX)
         found = self._read_section(section, defaults.UPSTREAM_KEYS)
+        if not defaults.is_name(name):
+            hint = f"name the upstream with {defaults.NAME}"
+            self._fault("conf.E002", section, "", "", "is not a section", hint)
+            return None
         if len(found) < len(defaults.UPSTREAM_KEYS):
             return None
         return UpstreamSettings(name, found["service"], found["url"])
--- /dev/null
+++ b/chicorychute/conf/together.py
@@ -0,0 +1,108 @@
+"""Checks of settings that only hold together."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+
+from chicorychute.conf.defaults import WILDCARD_HOSTS
+from chicorychute.conf.exceptions import SettingFault
+
+LISTENERS = ("edge", "peer", "operator")
+HTTP_PORT = 80
+
+Values = dict[tuple[str, str], Any]
+
+
+@attrs.frozen
+class UpstreamSettings:
+    """One upstream beside the daemon."""
+
+    id: str
+    service: str
+    url: str
+
+
+def check_together(
+    file: str, values: Values, upstreams: Sequence[UpstreamSettings]
+) -> list[SettingFault]:
+    """Return the faults of values that exclude each other.
+
+    Parameters
+    ----------
+    values : dict
+        Values by section and key; those that could not be read are absent.
+    """
+    checks: tuple[Callable[..., list[SettingFault]], ...] = (
+        _check_platform,
+        _check_ports,
+        _check_upstreams,
+    )
+    return [fault for check in checks for fault in check(file, values, upstreams)]
+
+
+def _check_platform(
+    file: str, values: Values, upstreams: Sequence[UpstreamSettings]
+) -> list[SettingFault]:
+    needs_url = values.get(("platform", "backend")) == "http"
+    if not needs_url or values.get(("platform", "url")) != "":
+        return []
+    problem = "is missing, and backend is http"
+    hint = "set it to http://host:port/path, or set backend to none"
+    return [SettingFault("conf.E008", file, "platform", "url", "", problem, hint)]
+
+
+def _check_ports(
+    file: str, values: Values, upstreams: Sequence[UpstreamSettings]
+) -> list[SettingFault]:
+    faults = []
+    taken: list[tuple[str, str, int]] = []
+    for section in LISTENERS:
+        host = values.get((section, "host"))
+        port = values.get((section, "port"))
+        if host is None or not port:
+            continue
+        for other, other_host, other_port in taken:
+            if port == other_port and _overlap(host, other_host):
+                problem = f"is the port of [{other}] too"
+                hint = "give each listener a port of its own"
+                faults.append(
+                    SettingFault(
+                        "conf.E009", file, section, "port", str(port), problem, hint
+                    )
+                )
+        taken.append((section, host, port))
+    return faults
+
+
+def _overlap(host: str, other: str) -> bool:
+    return host == other or host in WILDCARD_HOSTS or other in WILDCARD_HOSTS
+
+
+def _check_upstreams(
+    file: str, values: Values, upstreams: Sequence[UpstreamSettings]
+) -> list[SettingFault]:
+    faults = []
+    id_by_url: dict[str, str] = {}
+    own = {
+        (values.get((section, "host")), values.get((section, "port")))
+        for section in LISTENERS
+    }
+    for upstream in upstreams:
+        section = f"upstream:{upstream.id}"
+        first = id_by_url.setdefault(upstream.url, upstream.id)
+        parts = urlsplit(upstream.url)
+        problem = ""
+        if first != upstream.id:
+            problem = f"is the url of [upstream:{first}] too"
+        elif (parts.hostname, parts.port or HTTP_PORT) in own:
+            problem = "is an address of the daemon itself"
+        if problem:
+            hint = "name the upstream's own address"
+            faults.append(
+                SettingFault(
+                    "conf.E010", file, section, "url", upstream.url, problem, hint
+                )
+            )
+    return faults
--- /dev/null
+++ b/tests/conf/test_settings.py
@@ -0,0 +1,126 @@
+from pathlib import Path
+
+import pytest
+
+from chicorychute.conf.reference import PAGE, render_reference
+from chicorychute.conf.settings import read_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+GOOD = """
+[instance]
+id = counter-1
+zone = bagmati-a
+region = bagmati
+[platform]
+url = http://127.0.0.1:9000/
+[upstream:orders-1]
+service = orders
+url = http://127.0.0.1:9001
+"""
+
+
+@pytest.fixture
+def read(tmp_path):
+    path = tmp_path / "daemon.ini"
+
+    def write_and_read(content):
+        data = content if isinstance(content, bytes) else content.encode()
+        path.write_bytes(data)
+        return read_settings(path)
+
+    return write_and_read
+
+
+def test_good_file_is_read_with_its_defaults(read):
+    settings = read(GOOD).ok_value
+    assert settings.get("edge", "port") == 8080
+    assert settings.get("platform", "url") == "http://127.0.0.1:9000"
+    assert settings.upstreams[0].url == "http://127.0.0.1:9001"
+
+
+def test_byte_order_mark_and_crlf_are_taken(read):
+    assert read(b"\xef\xbb\xbf" + GOOD.replace("\n", "\r\n").encode()).is_ok()
+
+
+def with_line(section, line):
+    return GOOD + f"[{section}]\n{line}\n"
+
+
+FAULTS = {
+    "unknown-section": (with_line("egde", "port = 1"), "[egde]"),
+    "default-section": (with_line("DEFAULT", "port = 1"), "[DEFAULT]"),
+    "unknown-key": (with_line("edge", "prot = 1"), "[edge] prot: '1'"),
+    "port-range": (with_line("edge", "port = 70000"), "[edge] port: '70000'"),
+    "port-text": (with_line("edge", "port = http"), "[edge] port: 'http'"),
+    "port-grouped": (with_line("edge", "port = 8_080"), "[edge] port: '8_080'"),
+    "port-empty": (with_line("edge", "port ="), "[edge] port"),
+    "nan": (with_line("gossip", "interval_s = nan"), "[gossip] interval_s: 'nan'"),
+    "infinite": (with_line("gossip", "interval_s = inf"), "[gossip] interval_s"),
+    "level": (with_line("log", "level = loud"), "[log] level: 'loud'"),
+    "ratio": (with_line("trace", "ratio = 2"), "[trace] ratio: '2'"),
+    "host": (with_line("edge", "host = a b"), "[edge] host: 'a b'"),
+    "wildcard-peer": (with_line("peer", "host = 0.0.0.0"), "[peer] host"),
+    "seeds": (with_line("peer", "seeds = somewhere"), "[peer] seeds: 'somewhere'"),
+    "instance-name": (GOOD.replace("counter-1", "a@b/c"), "[instance] id: 'a@b/c'"),
+    "missing-key": (GOOD.replace("zone = bagmati-a\n", ""), "[instance] zone"),
+    "missing-section": (GOOD.partition("[upstream")[0], "[upstream:ID]: is missing"),
+    "unnamed-upstream": (GOOD.replace("[upstream:orders-1]", "[upstream:]"), "[upst"),
+    "url-scheme": (GOOD.replace("http://127.0.0.1:9001", "ftp://a"), "url: 'ftp://a'"),
+    "url-bare": (GOOD.replace("http://127.0.0.1:9001", "localhost:1"), "url: 'local"),
+    "url-port": (GOOD.replace(":9001", ":99999"), "[upstream:orders-1] url"),
+    "url-path": (GOOD.replace(":9001", ":9001/a"), "[upstream:orders-1] url"),
+    "url-user": (GOOD.replace("//127.0.0.1:9001", "//u:p@a"), "[upstream:orders-1]"),
+    "platform-url": (
+        GOOD.replace("url = http://127.0.0.1:9000/\n", ""),
+        "[platform] url: is missing, and backend is http",
+    ),
+    "same-port": (with_line("peer", "port = 8080"), "[peer] port: '8080' is the port"),
+    "same-upstream": (
+        with_line("upstream:o2", "service = orders\nurl = http://127.0.0.1:9001"),
+        "[upstream:o2] url",
+    ),
+    "own-address": (GOOD.replace(":9001", ":8080"), "address of the daemon itself"),
+    "repeated-key": (
+        with_line("edge", "port = 1\nport = 2"),
+        "[edge] port: stands twice (line 13)",
+    ),
+    "repeated-section": (GOOD + "[instance]\nid = a\n", "[instance]: stands twice"),
+    "no-section": ("id = a\n", "can't be read"),
+    "not-utf-8": (GOOD.encode() + b"# \xff\n", "can't be read"),
+    "binary": (b"\x00\x01\x02", "can't be read"),
+}
+
+
+@pytest.mark.parametrize(("content", "expected"), FAULTS.values(), ids=FAULTS)
+def test_fault_is_one_clear_line(read, content, expected):
+    faults = [str(fault) for fault in read(content).err_value]
+    assert len(faults) == 1
+    (line,) = faults
+    assert "\n" not in line
+    assert "daemon.ini" in line
+    assert expected in line
+
+
+def test_missing_file_and_directory_are_clear(tmp_path):
+    for path in (tmp_path / "none.ini", tmp_path):
+        (fault,) = read_settings(path).err_value
+        assert str(path) in str(fault)
+
+
+def test_all_faults_are_told_at_once_and_in_order(read):
+    content = (
+        GOOD.replace("counter-1", "") + "[edge]\nport = x\nprot = 1\n[log]\na = b\n"
+    )
+    faults = [str(fault) for fault in read(content).err_value]
+    assert len(faults) == 4
+    assert [fault.split(": ")[2] for fault in faults] == [
+        "[instance] id",
+        "[edge] prot",
+        "[edge] port",
+        "[log] a",
+    ]
+
+
+def test_reference_page_is_what_the_defaults_say():
+    page = (ROOT / PAGE).read_text("utf-8")
+    assert page == render_reference(), "run make reference"
