--- /dev/null
+++ b/chicorychute/table/columns.py
@@ -0,0 +1,169 @@
+"""Columns of the operators' table: how each cell is read and what it means."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from chicorychute.core.lines import is_word
+from chicorychute.table.rows import Repeat, Row
+
+ANY_REST = "/*"
+NAME = "letters, digits, '-', '_' and '.'"
+
+
+@attrs.frozen
+class Column:
+    """One column.
+
+    Attributes
+    ----------
+    of_service : bool
+        Whether every row of a service must hold the same value.
+    """
+
+    name: str
+    read: Callable[[str], Any]
+    accepts: str
+    doc: str
+    of_service: bool = False
+
+
+def _number(low: float, high: float) -> Callable[[str], float]:
+    def read(cell: str) -> float:
+        value = float(cell)
+        if not math.isfinite(value) or not low <= value <= high:
+            raise ValueError(cell)
+        return value
+
+    return read
+
+
+def _whole(low: int, high: int) -> Callable[[str], int]:
+    def read(cell: str) -> int:
+        if not (cell.isascii() and cell.isdigit()) or not low <= int(cell) <= high:
+            raise ValueError(cell)
+        return int(cell)
+
+    return read
+
+
+def _name(cell: str) -> str:
+    if not cell or not all(c.isalnum() or c in "-_." for c in cell):
+        raise ValueError(cell)
+    return cell
+
+
+def _routes(cell: str) -> tuple[str, ...]:
+    patterns = tuple(part.strip() for part in cell.split(";") if part.strip())
+    if not patterns or not all(_is_route(pattern) for pattern in patterns):
+        raise ValueError(cell)
+    return patterns
+
+
+def _is_route(pattern: str) -> bool:
+    method, _, path = pattern.partition(" ")
+    if not (method.isascii() and method.isalpha() and method.isupper()):
+        return False
+    fixed = path.removesuffix(ANY_REST) if path.endswith(ANY_REST) else path
+    if not is_word(path) or not path.startswith("/"):
+        return False
+    return not any(character in fixed for character in "*?#")
+
+
+COLUMNS: tuple[Column, ...] = (
+    Column("service", _name, NAME, "Service that the row belongs to."),
+    Column("rank", _name, NAME, "Rank of work; one row for each service and rank."),
+    Column(
+        "routes",
+        _routes,
+        "'METHOD /path' patterns parted by ';', a last '/*' for any rest",
+        "Requests of this rank. The exact path goes before the longest pattern that"
+        " ends with '/*'; HEAD takes the row of GET where it has none of its own.",
+    ),
+    Column(
+        "priority",
+        _whole(1, 100),
+        "a whole number from 1 to 100",
+        "Order of service; 1 is the most urgent.",
+    ),
+    Column(
+        "share",
+        _number(0, 1),
+        "a number from 0 to 1",
+        "Part of the slots that the rank keeps during a flood of any other. The"
+        " shares of a service add up to 1 at most.",
+    ),
+    Column(
+        "target_ms",
+        _number(1, 600_000),
+        "milliseconds from 1 to 600000",
+        "Time in which an answer is wanted; the service level counts answers within.",
+    ),
+    Column(
+        "deadline_ms",
+        _number(1, 600_000),
+        "milliseconds from 1 to 600000, not below target_ms",
+        "Time after which an answer is worthless and the request is given up.",
+    ),
+    Column(
+        "repeat",
+        Repeat,
+        "'idempotent' or 'once'",
+        "Whether a request may run more than once; 'once' needs an Idempotency-Key.",
+    ),
+    Column(
+        "retry_share",
+        _number(0, 1),
+        "a number from 0 to 1",
+        "Retries allowed, as a share of the service's requests.",
+        of_service=True,
+    ),
+    Column(
+        "slots",
+        _whole(1, 10_000),
+        "a whole number from 1 to 10000",
+        "Requests that one upstream runs at a time.",
+        of_service=True,
+    ),
+    Column(
+        "floor",
+        _number(0, 1),
+        "a number from 0 to 1",
+        "Share of the service's upstreams that ejection leaves in rotation; 1 never"
+        " ejects.",
+        of_service=True,
+    ),
+    Column(
+        "sensitivity",
+        _number(0.1, 10),
+        "a number from 0.1 to 10",
+        "Balance of ejection: above 1 ejects sooner, below 1 later.",
+        of_service=True,
+    ),
+    Column(
+        "team_rate",
+        _number(0, 1e6),
+        "requests a second, 0 for no limit",
+        "Requests a second of each team at one gate.",
+    ),
+    Column(
+        "cross_region_kbps",
+        _number(0, 1e7),
+        "kilobytes a second, 0 for none",
+        "Budget of one daemon for the service's traffic to other regions.",
+        of_service=True,
+    ),
+)
+COLUMN_NAMES = tuple(column.name for column in COLUMNS)
+
+
+def cell_of(row: Row, column: str) -> str:
+    """Return the text of a row's cell as an operator would write it."""
+    value = getattr(row, column)
+    if isinstance(value, Repeat):
+        return value.value
+    if isinstance(value, tuple):
+        return "; ".join(value)
+    return f"{value:g}" if isinstance(value, float) else str(value)
--- a/chicorychute/table/exceptions.py
+++ b/chicorychute/table/exceptions.py
@@ -26,4 +26,5 @@
         place = f"line {self.line}"
         if self.column:
             place += f", column {self.column}"
-        return f"{self.id}: {place}: {self.value!r} {self.problem}: {self.hint}"
+        value = f"{self.value!r} " if self.value else ""
+        return f"{self.id}: {place}: {value}{self.problem}: {self.hint}"
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -24,7 +24,7 @@
 
 def make_table(check_deadline_ms: int) -> str:
     """Return the demo's table."""
-    once = "once,0.1,4,0.5,1,0,1000"
+    once = "once,0.2,4,0.5,1,0,1000"
     idempotent = "idempotent,0.2,4,0.5,1,0,1000"
     rows = [
         f"orders,order,POST /orders,1,0.3,300,4000,{once}",
