Give the command line status and table, and tell ports in use

status shows version in force, service level by rank and instances with their verdict, those out of rotation first, on one screen, or as JSON; table shows, compares and explains tables from files or from the table in force (/table on the operator port); run names every port that can't be listened on and exits 1 before anything starts.

--- a/chicorychute/core/management/__init__.py
+++ b/chicorychute/core/management/__init__.py
@@ -2,10 +2,16 @@
 
 import argparse
 import importlib
+import os
 import pkgutil
 import sys
 
-from chicorychute.core.management.base import BaseCommand, CommandError
+from chicorychute.core.management.base import (
+    EXIT_FAILED,
+    EXIT_INTERRUPTED,
+    BaseCommand,
+    CommandError,
+)
 
 COMMANDS_PACKAGE = "chicorychute.core.management.commands"
 
@@ -25,7 +31,9 @@
 def main(arguments: list[str]) -> int:
     """Run one command; returns its exit code."""
     parser = argparse.ArgumentParser(
-        prog="chicorychute", description="Proxy fleet for upstreams with gray failures."
+        prog="chicorychute",
+        description="Proxy fleet for upstreams with gray failures.",
+        epilog="exit codes: 0 done; 1 failed; 2 bad arguments, settings or table",
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
     for name in command_names():
@@ -43,5 +51,12 @@
     try:
         return options.run(options)
     except CommandError as error:
-        print(f"chicorychute: {error}", file=sys.stderr)
+        for line in str(error).splitlines():
+            print(f"chicorychute: {line}", file=sys.stderr)
         return error.exit_code
+    except BrokenPipeError:
+        # The reader of a pipe has gone; nothing more may be written to it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
--- a/chicorychute/core/management/base.py
+++ b/chicorychute/core/management/base.py
@@ -5,6 +5,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
+EXIT_INTERRUPTED = 130  # as shells report an end by SIGINT
 
 
 class CommandError(Exception):
--- a/chicorychute/core/management/commands/check.py
+++ b/chicorychute/core/management/commands/check.py
@@ -3,7 +3,7 @@
 import argparse
 from pathlib import Path
 
-from result import Err
+from result import Err, Result
 
 from chicorychute.conf.settings import read_settings
 from chicorychute.core.management.base import (
@@ -12,6 +12,7 @@
     BaseCommand,
     CommandError,
 )
+from chicorychute.core.management.commands.table import read_table_file
 from chicorychute.table.parse import parse_table
 
 
@@ -20,8 +21,10 @@
 
     help = "Check a settings file or a table; start nothing."
     examples = (
-        "examples:\n  chicorychute check -c daemon.ini\n"
-        "  chicorychute check --table table.csv"
+        "examples:\n"
+        "  chicorychute check -c daemon.ini\n"
+        "  chicorychute check --table table.csv\n\n"
+        "exit codes: 0 no faults; 2 faults, one line each on standard error"
     )
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
@@ -37,22 +40,22 @@
         if options.config is not None:
             lines.extend(_faults(read_settings(options.config)))
         if options.table is not None:
-            try:
-                text = options.table.read_text("utf-8")
-            except (OSError, UnicodeDecodeError) as error:
-                raise CommandError(
-                    f"{options.table}: can't be read ({error}): name a CSV in UTF-8",
-                    EXIT_BAD_INPUT,
-                ) from error
-            found = _faults(parse_table(1, text))
-            lines.extend(f"{options.table}: {line}" for line in found)
+            lines.extend(_table_faults(options.table))
         if lines:
             raise CommandError("\n".join(lines), EXIT_BAD_INPUT)
         print("no faults")
         return EXIT_OK
 
 
-def _faults(found) -> list[str]:
+def _table_faults(path: Path) -> list[str]:
+    try:
+        text = read_table_file(path)
+    except CommandError as error:
+        return [str(error)]
+    return [f"{path}: {line}" for line in _faults(parse_table(1, text))]
+
+
+def _faults(found: Result) -> list[str]:
     if isinstance(found, Err):
         return [str(fault) for fault in found.err_value]
     return []
--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -1,11 +1,13 @@
 """Runs a daemon."""
 
 import argparse
+import socket
 from pathlib import Path
 
 from result import Err
 
-from chicorychute.conf.settings import read_settings
+from chicorychute.conf.settings import Settings, read_settings
+from chicorychute.conf.together import LISTENERS
 from chicorychute.core.management.base import (
     EXIT_BAD_INPUT,
     BaseCommand,
@@ -17,19 +19,25 @@
     """Start a daemon and serve until a signal asks it to stop."""
 
     help = "Run the daemon beside an instance's upstreams."
-    examples = "example: chicorychute run -c daemon.ini"
+    examples = (
+        "example: chicorychute run -c daemon.ini\n\n"
+        "SIGTERM or SIGINT drains and stops; a second one cuts what is in flight.\n\n"
+        "exit codes: 0 stopped as asked; 1 a port can't be listened on;\n"
+        "2 bad arguments or settings"
+    )
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the settings file."""
         parser.add_argument("-c", "--config", type=Path, required=True, help="INI file")
 
     def handle(self, options: argparse.Namespace) -> int:
-        """Check the settings, then serve."""
+        """Check the settings and ports, then serve."""
         found = read_settings(options.config)
         if isinstance(found, Err):
             lines = "\n".join(str(fault) for fault in found.err_value)
             raise CommandError(lines, EXIT_BAD_INPUT)
         settings = found.ok_value
+        _check_ports(settings)
         from chicorychute.core.system_clock import SystemClock
         from chicorychute.daemon import Daemon
         from chicorychute.telemetry.logs import configure_logs
@@ -37,4 +45,30 @@
         configure_logs(
             settings.get("log", "format"), settings.get("log", "level"), SystemClock()
         )
-        return Daemon(settings).run()
+        try:
+            daemon = Daemon(settings)
+        except OSError as error:
+            raise CommandError(f"can't start ({error}): free the port") from error
+        return daemon.run()
+
+
+def _check_ports(settings: Settings) -> None:
+    """Tell every port that can't be listened on, before anything starts.
+
+    Raises
+    ------
+    CommandError
+        If there is one.
+    """
+    lines = []
+    for section in LISTENERS:
+        host, port = settings.get(section, "host"), settings.get(section, "port")
+        try:
+            socket.create_server((host, port)).close()
+        except OSError as error:
+            lines.append(
+                f"[{section}] can't listen on {host}:{port} ({error.strerror}):"
+                " stop what holds it, or set another host or port"
+            )
+    if lines:
+        raise CommandError("\n".join(lines))
--- /dev/null
+++ b/chicorychute/core/management/commands/status.py
@@ -0,0 +1,130 @@
+"""Shows the status of a daemon and its view of the fleet."""
+
+import argparse
+import json
+
+from chicorychute.core.management.base import EXIT_FAILED, EXIT_OK, BaseCommand
+from chicorychute.core.management.operator import (
+    add_operator_arguments,
+    fetch,
+    operator_url,
+)
+from chicorychute.core.management.text import columns
+
+INSTANCES_SHOWN = 20
+HEALTHY = ("alive", "healthy")
+
+
+class Command(BaseCommand):
+    """Show version in force, service level, and instances with verdict."""
+
+    help = "Show what a daemon serves and knows, on one screen."
+    examples = (
+        "examples:\n"
+        "  chicorychute status\n"
+        "  chicorychute status -c daemon.ini\n"
+        "  chicorychute status --url http://10.0.0.7:8082 --json\n\n"
+        "exit codes: 0 the daemon is ready; 1 it is not, or does not answer;\n"
+        "2 bad arguments or settings"
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the daemon and the form."""
+        add_operator_arguments(parser)
+        parser.add_argument("--json", action="store_true", help="print JSON")
+        parser.add_argument(
+            "--all",
+            action="store_true",
+            help=f"list every instance, not the first {INSTANCES_SHOWN}",
+        )
+
+    def handle(self, options: argparse.Namespace) -> int:
+        """Print the status."""
+        status = json.loads(fetch(operator_url(options) + "/status").data)
+        if options.json:
+            print(json.dumps(status, indent=2))
+        else:
+            print("\n".join(screen(status, options.all)))
+        return EXIT_FAILED if status["not_ready"] else EXIT_OK
+
+
+def screen(status: dict, show_all: bool) -> list[str]:
+    """Return the lines of the screen."""
+    state = f"not ready: {status['not_ready']}" if status["not_ready"] else "ready"
+    lines = [
+        f"{status['instance']} in {status['zone']}, {status['region']}: {state}",
+        (
+            f"table: version {status['table_version']} in force"
+            f" for {status['table_age_s']:g} s"
+        ),
+        "",
+        "service level, last minute, requests that entered here",
+        *columns([("service", "rank", "requests", "within target"), *_levels(status)]),
+        "",
+        "upstreams of this instance",
+        *columns([("upstream", *UPSTREAM_HEADING, "reason"), *_upstreams(status)]),
+        "",
+    ]
+    rows = _instances(status)
+    shown = rows if show_all else rows[:INSTANCES_SHOWN]
+    lines.append(_count_line(status))
+    lines.extend(columns([("instance", "status", "zone", *MEMBER_HEADING), *shown]))
+    if len(shown) < len(rows):
+        lines.append(f"... and {len(rows) - len(shown)} more (--all)")
+    return lines
+
+
+UPSTREAM_HEADING = ("service", "verdict", "busy", "queued", "ms", "failed")
+MEMBER_HEADING = ("table", "upstream", *UPSTREAM_HEADING)
+
+
+def _levels(status: dict) -> list[tuple]:
+    return [
+        (
+            level["service"] or "(no route)",
+            level["rank"],
+            level["requests"],
+            f"{level['share']:.1%}" if level["requests"] else "-",
+        )
+        for level in sorted(
+            status["service_level"], key=lambda level: (level["service"], level["rank"])
+        )
+    ]
+
+
+def _upstreams(status: dict) -> list[tuple]:
+    return [
+        (item["upstream"], *_load(item), item["reason"]) for item in status["upstreams"]
+    ]
+
+
+def _instances(status: dict) -> list[tuple]:
+    """Return a row for each upstream, those out of rotation first."""
+    rows = []
+    for member in status["instances"]:
+        place = (member["instance"], member["status"], member["zone"])
+        version = member["table_version"]
+        for item in member["upstreams"]:
+            rows.append((*place, version, item["upstream"], *_load(item)))
+        if not member["upstreams"]:
+            rows.append((*place, version, "-", *("-" for _ in UPSTREAM_HEADING)))
+    return sorted(rows, key=lambda row: ((row[1], row[6]) == HEALTHY, row[0], row[4]))
+
+
+def _load(item: dict) -> tuple:
+    return (
+        item["service"],
+        item["verdict"],
+        f"{item['in_flight']}/{item['slots']}",
+        item["queued"],
+        f"{item['latency_ms']:g}",
+        f"{item['failure_share']:.1%}",
+    )
+
+
+def _count_line(status: dict) -> str:
+    counts: dict[str, int] = {}
+    for member in status["instances"]:
+        counts[member["status"]] = counts.get(member["status"], 0) + 1
+    parts = ", ".join(f"{count} {name}" for name, count in sorted(counts.items()))
+    return f"instances known here: {parts}"
--- a/chicorychute/core/management/commands/version.py
+++ b/chicorychute/core/management/commands/version.py
@@ -10,6 +10,7 @@
     """Print the version of the program."""
 
     help = "Print the version."
+    examples = "example: chicorychute version"
 
     def handle(self, options: argparse.Namespace) -> int:
         """Print one line."""
--- /dev/null
+++ b/chicorychute/core/management/text.py
@@ -0,0 +1,38 @@
+"""Plain text of tables: aligned on a terminal, parted by tabs in a pipe."""
+
+import shutil
+import sys
+from collections.abc import Iterable, Sequence
+
+GAP = "  "
+CUT = "~"
+
+
+def is_terminal() -> bool:
+    """Tell if the output goes to a terminal."""
+    return sys.stdout.isatty()
+
+
+def width() -> int:
+    """Return the columns of the terminal."""
+    return shutil.get_terminal_size().columns
+
+
+def columns(rows: Iterable[Sequence[object]]) -> list[str]:
+    """Return a line for each row, the first of them the heading.
+
+    On a terminal the columns are aligned and lines cut to its width; in a pipe the
+    cells are parted by tabs and whole.
+    """
+    cells = [[str(cell) for cell in row] for row in rows]
+    if not is_terminal():
+        return ["\t".join(row) for row in cells]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [
+        cut(GAP.join(map(str.ljust, row, widths)).rstrip(), width()) for row in cells
+    ]
+
+
+def cut(line: str, limit: int) -> str:
+    """Return a line of at most `limit` characters."""
+    return line if len(line) <= limit else line[: limit - 1] + CUT
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -182,6 +182,7 @@
             self._why_not_ready,
             report.as_json,
             lambda: render(telemetry.metrics.collect()),
+            self._tables.table,
         )
         self._operator = OperatorServer(
             pages, (get("operator", "host"), get("operator", "port"))
--- a/chicorychute/transport/operator.py
+++ b/chicorychute/transport/operator.py
@@ -6,13 +6,14 @@
 import cherrypy
 from cheroot import wsgi
 
+from chicorychute.table.rows import Table
 from chicorychute.telemetry.prometheus import CONTENT_TYPE
 
 OPERATOR_THREADS = 4
 
 
 class OperatorPages:
-    """Pages ``/live``, ``/ready``, ``/status`` and ``/metrics``.
+    """Pages ``/live``, ``/ready``, ``/status``, ``/metrics`` and ``/table``.
 
     Parameters
     ----------
@@ -22,6 +23,8 @@
         Returns the status as JSON values.
     metrics : callable
         Returns the metrics as Prometheus text.
+    table : callable
+        Returns the table in force.
     """
 
     def __init__(
@@ -29,15 +32,28 @@
         ready: Callable[[], str],
         status: Callable[[], dict],
         metrics: Callable[[], str],
+        table: Callable[[], Table | None],
     ):
         self._ready = ready
         self._status = status
         self._metrics = metrics
+        self._table = table
 
     @cherrypy.expose
     def index(self) -> str:
         """Name the pages."""
-        return "/live\n/ready\n/status\n/metrics\n"
+        return "/live\n/ready\n/status\n/metrics\n/table\n"
+
+    @cherrypy.expose
+    def table(self) -> bytes:
+        """Answer the text of the table in force."""
+        table = self._table()
+        if table is None:
+            cherrypy.response.status = 503
+            return b"no table yet\n"
+        cherrypy.response.headers["Content-Type"] = "text/csv; charset=utf-8"
+        cherrypy.response.headers["Chute-Table-Version"] = str(table.version)
+        return table.text.encode()
 
     @cherrypy.expose
     def live(self) -> str:
