--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -129,9 +129,7 @@
 def test_run_tells_the_port_in_use_and_starts_nothing(files, capsys):
     with socket.create_server(("127.0.0.1", 0)) as held:
         port = held.getsockname()[1]
-        content = (
-            f"{GOOD}[operator]\nport = {port}\n[edge]\nport = 0\n[peer]\nport = 0\n"
-        )
+        ports = f"[operator]\nport = {port}\n[edge]\nport = 0\n[peer]\nport = 0\n"
         (files / "daemon.ini").write_text(GOOD + ports)
         assert main(["run", "-c", str(files / "daemon.ini")]) == 1
     (shown,) = capsys.readouterr().err.splitlines()
