Mend or drop headers of an upstream that no peer takes

Cause: a header of an answer with a control character would be refused by the entry's codec, which closes the whole link and so harms other requests.

--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -1,10 +1,11 @@
 """Sends one request to an upstream over HTTP."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import urllib3
 
+from chicorychute.core.lines import is_line, is_word
 from chicorychute.core.messages import Headers, Work
 from chicorychute.core.outcomes import Outcome, Reason
 
@@ -113,17 +114,24 @@
             raise UpstreamFailure(
                 Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error)
             ) from error
-        kept = tuple(
-            (name, value)
-            for name, value in answer.headers.items()
-            if name.lower() not in HOP_BY_HOP
-        )
+        kept = _kept_headers(answer.headers.items())
         length = int(answer.headers.get("Content-Length", -1))
         return UpstreamAnswer(
             answer.status, kept, length, _chunks(answer), answer.close
         )
 
 
+def _kept_headers(given: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers to pass on, in a form that every peer takes."""
+    kept = []
+    for name, value in given:
+        if not is_line(value):
+            value = " ".join(value.split())  # a value folded over several lines
+        if name.lower() not in HOP_BY_HOP and is_word(name) and is_line(value):
+            kept.append((name, value))
+    return tuple(kept)
+
+
 def _chunks(answer: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     try:
         yield from answer.stream(READ_BYTES, decode_content=False)
