--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -226,7 +226,6 @@
             self._tables.version, self._gate.digests(), self._tables.hash
         )
         self._fleet.gossip()
-        self._tables.repair()
 
     def _watch(self) -> None:
         if not self._stop_asked.is_set():
@@ -254,6 +253,7 @@
                 self._exchanges.on_part(link, message)
             case Gossip():
                 self._fleet.on_gossip(link, message)
+                self._tables.on_gossip(link, message)
             case ProbeRequest():
                 self._fleet.on_probe_request(message)
             case TableAnnounce():
--- a/chicorychute/membership/selection.py
+++ b/chicorychute/membership/selection.py
@@ -3,10 +3,11 @@
 import enum
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 SMALL_FLEET = 64  # up to here every daemon knows every upstream
-DETAIL_RECORDS = 24  # records of peers that share a service, each message
+SMALL_FLEET_RECORDS = 12  # whole records in each message of a small fleet
+DETAIL_RECORDS = 8  # whole records of services that both sides host
 NEWS_RECORDS = 16  # records that changed lately, each message
 REPAIR_RECORDS = 4  # records sent in turn, each message
 NEWS_FACTOR = 3  # sends of one change for each doubling of the fleet
@@ -60,6 +61,10 @@
         self._next_by_turn[turn] = (start + count) % size
         return [self._ids[(start + step) % size] for step in range(count)]
 
+    def members(self) -> Set[str]:
+        """Return the instances as a set."""
+        return self._index_by_id.keys()
+
     def ids(self) -> list[str]:
         """Return every instance; not to be changed."""
         return self._ids
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -30,6 +30,7 @@
     DETAIL_RECORDS,
     REPAIR_RECORDS,
     SMALL_FLEET,
+    SMALL_FLEET_RECORDS,
     News,
     Ring,
     Turn,
@@ -107,6 +108,16 @@
         """Own record as last published."""
         return self._own
 
+    @property
+    def alone(self) -> bool:
+        """Whether no other instance is known to live."""
+        return len(self._present) == 0
+
+    @property
+    def news_left(self) -> int:
+        """Changes that are still being told."""
+        return len(self._news)
+
     def publish(
         self,
         table_version: int,
@@ -433,11 +444,22 @@
     def _chosen(self, receiver: str) -> list[str]:
         chosen = [receiver] if self._doubted(receiver) else []
         chosen.extend(self._news.take())
-        ring = self._sharing if len(self._present) > SMALL_FLEET else self._present
-        chosen.extend(ring.take(Turn.DETAIL, DETAIL_RECORDS))
+        if len(self._present) <= SMALL_FLEET:
+            chosen.extend(self._present.take(Turn.DETAIL, SMALL_FLEET_RECORDS))
+        else:
+            chosen.extend(self._hosts_shared_with(receiver))
         chosen.extend(self._present.take(Turn.REPAIR, REPAIR_RECORDS))
         return chosen
 
+    def _hosts_shared_with(self, receiver: str) -> list[str]:
+        member = self._member_by_id.get(receiver)
+        if member is None:
+            return []
+        shared = set(services_of(member.record)).intersection(self._own.services)
+        hosts = {i for s in shared for i in self._hosts_by_service.get(s, ())}
+        present = sorted(hosts & self._present.members() - {receiver})
+        return self._rng.sample(present, min(DETAIL_RECORDS, len(present)))
+
     def _doubted(self, instance: str) -> bool:
         member = self._member_by_id.get(instance)
         return member is not None and member.record.status is not MemberStatus.ALIVE
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -22,6 +22,8 @@
 from chicorychute.services.senders import Address, Senders
 from chicorychute.transport.links import Link
 
+SCAN_ROUNDS = 8  # between two looks over all records for readers and strangers
+
 logger = structlog.get_logger()
 
 
@@ -54,6 +56,8 @@
         self._pace = pace
         self._rng = rng
         self._on_listed_leaving = on_listed_leaving
+        self._reader = True
+        self._rounds = 0
         self._lock = threading.Lock()
 
     def own(self) -> MemberRecord:
@@ -108,10 +112,14 @@
 
     def gossip(self) -> None:
         """Run one gossip round."""
+        scans = self._rounds % SCAN_ROUNDS == 0 or self._view.alone
+        self._rounds += 1
+        if scans:
+            self._reader = self._is_reader()
         with self._lock:
             sends = self._view.gossip_round()
-            greeting = self._view.message_for("", True)
-            stranger = self._stranger()
+            stranger = self._stranger() if scans else None
+            greeting = self._view.message_for("", True) if stranger else None
         self._send_all(sends)
         if stranger is not None:
             self._senders.send(stranger, greeting)
@@ -141,6 +149,9 @@
 
     def reads_platform(self) -> bool:
         """Return whether this daemon reads the platform for its zone."""
+        return self._reader
+
+    def _is_reader(self) -> bool:
         own = self._view.own
         alive = [
             record.instance
--- a/chicorychute/services/tables.py
+++ b/chicorychute/services/tables.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from chicorychute.core.messages import (
+    Gossip,
     MemberRecord,
     MemberStatus,
     Message,
@@ -19,7 +20,7 @@
 from chicorychute.platform.pacing import ReadPace
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.senders import Senders
-from chicorychute.table.relay import Place, announce_targets, nearest_first
+from chicorychute.table.relay import Place, announce_targets
 from chicorychute.table.routes import RouteIndex
 from chicorychute.table.rows import Table
 from chicorychute.table.versions import Offered, Ruling, TableVersions
@@ -117,24 +118,13 @@
                 logger.warning("table: platform is down", error=str(error))
                 return False
 
-    def repair(self) -> None:
-        """Ask the nearest peer that is known to hold a newer table for it."""
-        ahead = [
-            record
-            for record, status in self._fleet.snapshot()
-            if status is MemberStatus.ALIVE
-            and self._versions.wants(record.table_version, record.table_hash)
-        ]
-        if not ahead:
-            return
-        own = _place(self._fleet.own())
-        nearest = nearest_first(own, map(_place, ahead), self._rng)[0]
-        record = next(record for record in ahead if record.instance == nearest)
-        announce = TableAnnounce(record.table_version, record.table_hash)
-        with self._lock:
-            request = self._versions.on_announce(announce)
-        if request is not None:
-            self._send(nearest, request)
+    def on_gossip(self, link: Link, message: Gossip) -> None:
+        """Ask the sender for its table if its own record names a newer one."""
+        for record in message.records:
+            if record.instance == message.sender:
+                announce = TableAnnounce(record.table_version, record.table_hash)
+                self.on_announce(link, announce)
+                return
 
     def on_announce(self, link: Link, announce: TableAnnounce) -> None:
         """Ask the announcer for its table if it would be taken."""
--- a/chicorychute/table/relay.py
+++ b/chicorychute/table/relay.py
@@ -23,8 +23,8 @@
     """Return the instances to tell of a table that was just taken.
 
     A few of the own zone are always told. One of each other zone of the region
-    is told by those that took the table from outside their zone, and one of each
-    other region by those that took it from outside their region.
+    is told by those that took the table from outside their region, and one of
+    each other region by those that took it from the platform.
 
     Parameters
     ----------
@@ -42,16 +42,8 @@
         else:
             same_zone.append(place.instance)
     targets = rng.sample(same_zone, min(ZONE_FANOUT, len(same_zone)))
-    if source is None or source.zone != own.zone:
-        targets.extend(rng.choice(group) for group in by_zone.values())
     if source is None or source.region != own.region:
+        targets.extend(rng.choice(group) for group in by_zone.values())
+    if source is None:
         targets.extend(rng.choice(group) for group in by_region.values())
     return targets
-
-
-def nearest_first(own: Place, places: Iterable[Place], rng: random.Random) -> list[str]:
-    """Return the instances by distance, in random order at the same distance."""
-    shuffled = list(places)
-    rng.shuffle(shuffled)
-    shuffled.sort(key=lambda p: (p.region != own.region, p.zone != own.zone))
-    return [place.instance for place in shuffled]
--- a/tests/membership/net.py
+++ b/tests/membership/net.py
@@ -70,6 +70,11 @@
                     self._deliver(instance, view.gossip_round())
             self.clock.advance(ROUND_S)
 
+    def settle(self):
+        for view in self.view_by_id.values():
+            while view.news_left:
+                view.message_for("", False)
+
     def statuses(self, instance):
         return {
             viewer: view.status_of(instance)
