Prove versions, pacing, listing and rolling replacement

Cause: a stop cut keep-alive connections, a bad or older table was asked for in a loop, and the first retries of all daemons at once passed 2,000 reads a second.

--- a/chicorychute/platform/pacing.py
+++ b/chicorychute/platform/pacing.py
@@ -16,7 +16,8 @@
     interval_s : float
         Pause between reads that succeed, varied by a quarter.
     spread_s : float
-        Time over which the first reads of a fleet that starts at once spread.
+        Time over which the first reads of a fleet that starts at once spread;
+        the first pause after a failure is no shorter than half of it.
     """
 
     def __init__(
@@ -25,7 +26,8 @@
         self._interval_s = interval_s
         self._clock = clock
         self._rng = rng
-        self._pause_s = FIRST_PAUSE_S
+        self._first_pause_s = max(FIRST_PAUSE_S, spread_s / 2)
+        self._pause_s = self._first_pause_s
         self._next_s = clock.monotonic() + rng.uniform(0, spread_s)
 
     def due(self) -> bool:
@@ -34,7 +36,7 @@
 
     def succeeded(self) -> None:
         """Plan the read after one that gave an answer."""
-        self._pause_s = FIRST_PAUSE_S
+        self._pause_s = self._first_pause_s
         self._wait(self._interval_s * self._rng.uniform(0.75, 1.25))
 
     def failed(self) -> None:
--- /dev/null
+++ b/tests/membership/test_records.py
@@ -0,0 +1,62 @@
+"""Any order of arrival of the same records gives the same belief."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import MemberRecord, MemberStatus
+from chicorychute.membership.records import claim
+from chicorychute.membership.view import MembershipView
+
+
+def published(incarnation, heartbeat, leaves_at):
+    status = MemberStatus.LEAVING if heartbeat >= leaves_at else MemberStatus.ALIVE
+    return MemberRecord(
+        "a", incarnation, heartbeat, status, "127.0.0.1", 1, "z", "r", 0, ()
+    )
+
+
+@st.composite
+def histories(draw):
+    """Records that one id can publish, and claims of peers against them."""
+    records = []
+    for incarnation in range(1, draw(st.integers(1, 3)) + 1):
+        leaves_at = draw(st.integers(1, 40))
+        for heartbeat in draw(st.lists(st.integers(0, 30), min_size=1, max_size=5)):
+            record = published(incarnation, heartbeat, leaves_at)
+            records.append(record)
+            if draw(st.booleans()) and record.status is MemberStatus.ALIVE:
+                records.append(claim(record, MemberStatus.SUSPECT))
+            if draw(st.booleans()):
+                records.append(claim(record, MemberStatus.DEAD))
+    return records
+
+
+def belief_after(records):
+    # The first record is no claim of death: an unknown instance's is ignored.
+    own = MemberRecord("own", 1, 0, MemberStatus.ALIVE, "127.0.0.1", 1, "z", "r", 0, ())
+    view = MembershipView(own, 3.0, ManualClock(), random.Random(1))
+    view.merge(records)
+    record = view.record_of("a")
+    return record.incarnation, record.heartbeat, record.status
+
+
+@settings(derandomize=True, deadline=None)
+@given(histories(), st.randoms(use_true_random=False))
+def test_order_of_arrival_does_not_matter(records, shuffle):
+    first = published(1, 0, 99)
+    shuffled = list(records)
+    shuffle.shuffle(shuffled)
+    assert belief_after([first, *records]) == belief_after([first, *shuffled])
+
+
+@settings(derandomize=True, deadline=None)
+@given(histories())
+def test_an_incarnation_that_left_is_never_believed_alive(records):
+    _, _, status = belief_after([published(1, 0, 99), *records])
+    newest = max(record.incarnation for record in records)
+    said = {r.status for r in records if r.incarnation == newest}
+    if MemberStatus.LEAVING in said:
+        assert status in (MemberStatus.LEAVING, MemberStatus.DEAD)
--- /dev/null
+++ b/tests/processes/test_replacement.py
@@ -0,0 +1,137 @@
+"""Every daemon is replaced under load, and nothing in flight is cut."""
+
+import itertools
+import random
+import signal
+import threading
+
+import pytest
+import urllib3
+
+from standins.demo import make_table
+from standins.fleet import Fleet, end
+
+pytestmark = pytest.mark.processes
+
+PLACES = [
+    ("r1", "r1-a", "orders"),
+    ("r1", "r1-b", "orders"),
+    ("r2", "r2-a", "orders"),
+    ("r2", "r2-b", "orders"),
+]
+CALLERS = 8
+EXIT_LIMIT_S = 30
+LEAST_CALLS = 2_000
+
+
+class Callers:
+    """Threads that hold connections open and change entry when they are told to."""
+
+    def __init__(self, fleet):
+        self.entries = list(fleet.nodes)
+        self.stopped = threading.Event()
+        self.cuts = []
+        self.answered = 0
+        self.refused = 0
+        self.keys = []
+        self.lock = threading.Lock()
+        self.numbers = itertools.count(1)
+        self.threads = [
+            threading.Thread(target=self.run, args=(seed,)) for seed in range(CALLERS)
+        ]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, seed):
+        rng = random.Random(seed)
+        http = urllib3.PoolManager(retries=False, maxsize=1)
+        entry = rng.choice(self.entries)
+        while not self.stopped.is_set():
+            if rng.random() < 0.3:
+                answer = self.order(http, entry)
+            else:
+                answer = self.call(http, entry, "GET", "/catalogue/1", {})
+            if answer is None or answer.headers.get("Connection") == "close":
+                entry = rng.choice([e for e in self.entries if e is not entry])
+
+    def order(self, http, entry):
+        number = next(self.numbers)
+        first = self.call(http, entry, "POST", "/orders", {})
+        if first is None or first.status != 428:
+            return first
+        key = f"{first.headers['Chute-Home']}/{number}"
+        with self.lock:
+            self.keys.append(key)
+        return self.call(http, entry, "POST", "/orders", {"Idempotency-Key": key})
+
+    def call(self, http, entry, method, path, headers):
+        """Return the answer, or None where another entry has to be asked."""
+        body = b"{}" if method == "POST" else None
+        try:
+            answer = http.request(
+                method, entry.edge_url + path, body=body, headers=headers, timeout=20
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return None
+        except urllib3.exceptions.HTTPError as error:
+            self.note(f"{method} {path} at {entry.instance}: {error!r}")
+            return None
+        outcome = answer.headers.get("Chute-Outcome")
+        if outcome == "ran" and answer.status == 200:
+            with self.lock:
+                self.answered += 1
+        elif outcome == "not-run":
+            with self.lock:
+                self.refused += 1
+        else:
+            self.note(f"{method} {path} at {entry.instance}: {answer.data!r}")
+        return answer
+
+    def note(self, problem):
+        with self.lock:
+            self.cuts.append(problem)
+
+
+def replace(fleet, node):
+    end(node.daemon, signal.SIGTERM)
+    node.daemon.wait(EXIT_LIMIT_S)
+    fleet.start_daemon(node)
+    fleet.wait_ready(node)
+    fleet.wait_for(lambda: sees_all(fleet, node), "a full view after the restart")
+
+
+def sees_all(fleet, node):
+    members = fleet.status(node)["instances"]
+    alive = [m for m in members if m["status"] == "alive" and m["upstreams"]]
+    return len(alive) == len(fleet.nodes)
+
+
+def test_rolling_replacement_during_a_table_change_cuts_and_doubles_nothing():
+    with Fleet(PLACES, make_table(5000), service_ms=5.0) as fleet:
+        with Callers(fleet) as callers:
+            for version, node in enumerate(fleet.nodes, start=2):
+                fleet.publish_table(version, make_table(5000 + version))
+                replace(fleet, node)
+        last = len(fleet.nodes) + 1
+        fleet.wait_for(
+            lambda: {fleet.status(n)["table_version"] for n in fleet.nodes} == {last},
+            "the last version everywhere",
+        )
+        runs = sum(
+            (list(fleet.counts(n)["runs_by_key"].items()) for n in fleet.nodes), []
+        )
+        exits = [node.daemon.poll() for node in fleet.nodes]
+    assert callers.cuts == []
+    assert callers.answered > LEAST_CALLS
+    keys = [key for key, _ in runs]
+    assert len(keys) == len(set(keys))
+    assert all(count == 1 for _, count in runs)
+    assert exits == [None] * len(PLACES)
--- /dev/null
+++ b/tests/table/test_versions.py
@@ -0,0 +1,107 @@
+"""Versions only rise, one content wins a version, and a bad one is not retried."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import TableAnnounce, TableRequest
+from chicorychute.table.relay import Place, announce_targets
+from chicorychute.table.versions import (
+    ASK_TIMEOUT_S,
+    Ruling,
+    TableVersions,
+    content_hash,
+)
+from standins.demo import make_table
+
+TEXTS = [make_table(deadline) for deadline in (4000, 5000, 6000)]
+BAD_TEXT = TEXTS[0].replace("4000", "never")
+
+
+def make_versions(*offers):
+    versions = TableVersions(ManualClock())
+    for version, text in offers:
+        versions.offer(version, text)
+    return versions
+
+
+def test_restored_older_copy_does_not_take_a_version_back():
+    versions = make_versions((5, TEXTS[0]))
+    assert versions.offer(4, TEXTS[1]).ruling is Ruling.OLDER
+    assert versions.key == (5, content_hash(TEXTS[0]))
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(TEXTS)))
+def test_contents_of_one_version_end_with_the_same_winner(order):
+    versions = make_versions(*((5, text) for text in order))
+    assert versions.key == (5, max(map(content_hash, TEXTS)))
+    assert versions.conflicts > 0
+
+
+def test_bad_table_is_refused_and_not_asked_for_again():
+    versions = make_versions((5, TEXTS[0]))
+    offered = versions.offer(6, BAD_TEXT)
+    assert offered.ruling is Ruling.REFUSED
+    assert offered.faults
+    assert versions.key[0] == 5
+    assert versions.on_announce(TableAnnounce(6, content_hash(BAD_TEXT))) is None
+    assert versions.offer(6, BAD_TEXT).ruling is Ruling.REFUSED_BEFORE
+    assert versions.highest_seen == 6
+
+
+def test_one_question_is_open_at_a_time_and_another_peer_is_asked_after_it():
+    clock = ManualClock()
+    versions = TableVersions(clock)
+    announce = TableAnnounce(6, content_hash(TEXTS[0]))
+    assert versions.on_announce(announce) == TableRequest(0, "")
+    assert versions.on_announce(announce) is None
+    clock.advance(ASK_TIMEOUT_S)
+    assert versions.on_announce(announce) == TableRequest(0, "")
+
+
+def test_only_a_newer_table_is_sent():
+    versions = make_versions((5, TEXTS[0]))
+    held = content_hash(TEXTS[0])
+    assert versions.on_request(TableRequest(5, held)) is None
+    assert versions.on_request(TableRequest(6, "")) is None
+    assert versions.on_request(TableRequest(4, "ff")).version == 5
+    assert make_versions().on_request(TableRequest(0)) is None
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(
+    st.lists(st.tuples(st.integers(1, 4), st.sampled_from([*TEXTS, BAD_TEXT]))),
+    st.randoms(use_true_random=False),
+)
+def test_daemons_that_saw_the_same_tables_agree(offers, shuffle):
+    shuffled = list(offers)
+    shuffle.shuffle(shuffled)
+    assert make_versions(*offers).key == make_versions(*shuffled).key
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(st.lists(st.tuples(st.integers(1, 4), st.sampled_from(TEXTS))))
+def test_the_key_in_force_only_rises(offers):
+    versions = make_versions()
+    for version, text in offers:
+        before = versions.key
+        versions.offer(version, text)
+        assert versions.key >= before
+
+
+def test_few_announcements_leave_the_region():
+    places = [Place(f"i{n}", f"z{n % 6}", f"r{n % 3}") for n in range(60)]
+    own = places[0]
+    region_by_id = {place.instance: place.region for place in places}
+
+    def far(source):
+        targets = announce_targets(own, places[1:], source, random.Random(1))
+        return [t for t in targets if region_by_id[t] != own.region]
+
+    assert len(far(None)) == 2
+    assert far(places[1]) == []
+    assert far(places[3]) == []
