--- a/chicorychute/table/versions.py
+++ b/chicorychute/table/versions.py
@@ -13,7 +13,7 @@
 from chicorychute.table.parse import parse_table
 from chicorychute.table.rows import Table
 
-ASK_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 0.5
 REFUSED_KEPT = 64
 HASH_BYTES = 8
 
--- a/tests/membership/net.py
+++ b/tests/membership/net.py
@@ -9,10 +9,15 @@
     MemberRecord,
     MemberStatus,
     ProbeRequest,
+    TableAnnounce,
+    TableRequest,
+    TableUpdate,
     UpstreamDigest,
     Verdict,
 )
 from chicorychute.membership.view import MembershipView, Send
+from chicorychute.table.relay import Place, announce_targets
+from chicorychute.table.versions import Ruling, TableVersions
 from chicorychute.transport.codec import encode
 
 SUSPECT_AFTER_S = 3.0
@@ -56,6 +61,9 @@
         self._publish(instance)
         return view
 
+    def table_key(self, instance):
+        return 0, ""
+
     def kill(self, instance):
         del self.view_by_id[instance]
 
@@ -92,9 +100,18 @@
     def send(self, sender, receiver, message):
         self._deliver(sender, (Send(receiver, message),))
 
+    def answer(self, sender, receiver, message):
+        view = self.view_by_id[receiver]
+        match message:
+            case Gossip():
+                return view.on_gossip(message)
+            case ProbeRequest():
+                return view.on_probe_request(message)
+
     def _publish(self, instance):
         digests = tuple(digest_of(instance, s) for s in self.services_by_id[instance])
-        self.view_by_id[instance].publish(0, digests)
+        version, hash = self.table_key(instance)
+        self.view_by_id[instance].publish(version, digests, hash)
 
     def _deliver(self, sender, sends):
         waiting = [(sender, send) for send in sends]
@@ -107,10 +124,59 @@
             if receiver not in self.view_by_id:
                 self.view_by_id[origin].on_unreachable(receiver)
                 continue
-            view = self.view_by_id[receiver]
-            match send.message:
-                case Gossip():
-                    answers = view.on_gossip(send.message)
-                case ProbeRequest():
-                    answers = view.on_probe_request(send.message)
+            answers = self.answer(origin, receiver, send.message)
             waiting.extend((receiver, answer) for answer in answers)
+
+
+class TableNet(Net):
+    """Views whose instances hold a table too, relayed as the daemon does."""
+
+    def __init__(self, ids, **options):
+        self.versions_by_id = {}
+        super().__init__(ids, **options)
+
+    def start(self, instance, **options):
+        self.versions_by_id[instance] = TableVersions(self.clock)
+        return super().start(instance, **options)
+
+    def table_key(self, instance):
+        return self.versions_by_id[instance].key
+
+    def keys(self):
+        return {self.versions_by_id[instance].key for instance in self.view_by_id}
+
+    def take(self, instance, version, text, source=None):
+        offered = self.versions_by_id[instance].offer(version, text)
+        if offered.ruling is not Ruling.TAKEN:
+            return
+        view = self.view_by_id[instance]
+        others = [place_of(record) for record in view.records()[1:]]
+        announce = self.versions_by_id[instance].announce()
+        targets = announce_targets(place_of(view.own), others, source, self.rng)
+        self._deliver(instance, [Send(target, announce) for target in targets])
+
+    def answer(self, sender, receiver, message):
+        versions = self.versions_by_id[receiver]
+        match message:
+            case Gossip():
+                answers = list(super().answer(sender, receiver, message))
+                own = message.records[0]
+                if own.instance == sender:
+                    announce = TableAnnounce(own.table_version, own.table_hash)
+                    answers += self.answer(sender, receiver, announce)
+                return answers
+            case TableAnnounce():
+                request = versions.on_announce(message)
+                return [] if request is None else [Send(sender, request)]
+            case TableRequest():
+                update = versions.on_request(message)
+                return [] if update is None else [Send(sender, update)]
+            case TableUpdate():
+                source = place_of(self.view_by_id[sender].own)
+                self.take(receiver, message.version, message.text, source)
+                return []
+        return super().answer(sender, receiver, message)
+
+
+def place_of(record):
+    return Place(record.instance, record.zone, record.region)
