--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -3,6 +3,7 @@
 import random
 import signal
 import threading
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -32,6 +33,7 @@
 from chicorychute.orders.ledger import OrderLedger
 from chicorychute.pipeline import filters
 from chicorychute.pipeline.leaving import Leaving
+from chicorychute.pipeline.measure import measure
 from chicorychute.pipeline.once import OrderHome
 from chicorychute.pipeline.values import chain
 from chicorychute.platform.base import PlatformBackend
@@ -49,7 +51,9 @@
 from chicorychute.services.ticker import Ticker
 from chicorychute.table.rows import Table
 from chicorychute.table.versions import TableVersions
-from chicorychute.telemetry.tracing import Tracing
+from chicorychute.telemetry.instruments import Instruments
+from chicorychute.telemetry.prometheus import render
+from chicorychute.telemetry.tracing import PassThroughTracing, Tracing
 from chicorychute.transport.edge import EdgeApplication, EdgeServer
 from chicorychute.transport.links import Link, LinkHub
 from chicorychute.transport.operator import OperatorPages, OperatorServer
@@ -82,7 +86,8 @@
             get("instance", "zone"),
             get("instance", "region"),
         )
-        tracing = Tracing(instance)
+        tracing = _tracing(self._settings, instance, self._rng)
+        telemetry = self._telemetry = Instruments(instance, clock)
         self._exchanges = Exchanges(clock)
         self._hub = LinkHub(
             hello,
@@ -90,6 +95,8 @@
             clock,
             self._on_message,
             self._on_closed,
+            lambda fault: telemetry.link_faults.add(fault.value),
+            telemetry.link_bytes,
         )
         own = MemberRecord(
             instance,
@@ -143,6 +150,7 @@
             [
                 leaving.count,
                 filters.trace(tracing, "entry"),
+                measure(telemetry.requests, clock),
                 filters.route(self._tables.routes),
                 leaving.refuse,
                 filters.deadline(clock),
@@ -157,20 +165,39 @@
             clock,
             get("edge", "max_body_bytes"),
             leaving.serving,
+            lambda reason: telemetry.edge_refusals.add(reason.value),
         )
         self._edge = EdgeServer(
             application,
             (get("edge", "host"), get("edge", "port")),
             get("edge", "threads"),
             get("edge", "max_header_bytes"),
+            get("edge", "read_limit_s").total_seconds(),
+        )
+        self._publish_metrics(platform)
+        report = StatusReport(
+            self._fleet, self._tables, self._gate, telemetry, self._why_not_ready
+        )
+        pages = OperatorPages(
+            self._why_not_ready,
+            report.as_json,
+            lambda: render(telemetry.metrics.collect()),
+            self._tables.table,
         )
-        report = StatusReport(self._fleet, self._tables, self._gate)
-        pages = OperatorPages(self._why_not_ready, report.as_json)
         self._operator = OperatorServer(
             pages, (get("operator", "host"), get("operator", "port"))
         )
         self._tickers = self._make_tickers(platform)
 
+    def _publish_metrics(self, platform: PlatformBackend | None) -> None:
+        telemetry = self._telemetry
+        telemetry.publish_upstreams(self._gate.digests)
+        telemetry.publish_members(
+            lambda: Counter(status.value for _, status in self._fleet.snapshot())
+        )
+        if isinstance(platform, HttpPlatform):
+            telemetry.publish_platform_reads(lambda: platform.reads)
+
     def _make_tickers(self, platform: PlatformBackend | None) -> list[Ticker]:
         get = self._settings.get
         gossip_s = get("gossip", "interval_s").total_seconds()
@@ -222,11 +249,10 @@
         return self._hub
 
     def _gossip(self) -> None:
-        self._fleet.publish(
-            self._tables.version, self._gate.digests(), self._tables.hash
-        )
+        digests = self._gate.digests()
+        self._telemetry.verdicts.observe(digests)
+        self._fleet.publish(self._tables.version, digests, self._tables.hash)
         self._fleet.gossip()
-        self._tables.repair()
 
     def _watch(self) -> None:
         if not self._stop_asked.is_set():
@@ -234,6 +260,7 @@
 
     def _on_table(self, table: Table) -> None:
         self._gate.apply(table)
+        self._telemetry.table.note(table.version)
 
     def _why_not_ready(self) -> str:
         if self._stop_asked.is_set():
@@ -254,6 +281,7 @@
                 self._exchanges.on_part(link, message)
             case Gossip():
                 self._fleet.on_gossip(link, message)
+                self._tables.on_gossip(link, message)
             case ProbeRequest():
                 self._fleet.on_probe_request(message)
             case TableAnnounce():
@@ -274,3 +302,11 @@
         "none": lambda: None,
     }
     return makers[settings.get("platform", "backend")]()
+
+
+def _tracing(settings: Settings, instance: str, rng: random.Random) -> Tracing:
+    if settings.get("trace", "export") == "off":
+        return PassThroughTracing(rng)
+    from chicorychute.telemetry.spans import LogExporter, RecordedTracing
+
+    return RecordedTracing(instance, settings.get("trace", "ratio"), LogExporter())
--- /dev/null
+++ b/chicorychute/telemetry/tally.py
@@ -0,0 +1,71 @@
+"""Counts by label that any thread may raise, read when metrics are collected."""
+
+import threading
+from bisect import bisect_left
+
+import attrs
+
+Labels = tuple[str, ...]
+
+LATENCY_BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)
+
+
+class Tally:
+    """Counts that only rise, by label values."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._count_by_labels: dict[Labels, int] = {}
+
+    def add(self, *labels: str, count: int = 1) -> None:
+        """Raise the count of `labels`."""
+        with self._lock:
+            self._count_by_labels[labels] = self._count_by_labels.get(labels, 0) + count
+
+    def items(self) -> list[tuple[Labels, int]]:
+        """Return the counts so far."""
+        with self._lock:
+            return list(self._count_by_labels.items())
+
+
+@attrs.define
+class Distribution:
+    """Latencies sorted into `LATENCY_BOUNDS_S`, the last bucket unbounded."""
+
+    buckets: list[int] = attrs.field(factory=lambda: [0] * (len(LATENCY_BOUNDS_S) + 1))
+    total_s: float = 0.0
+    least_s: float = float("inf")
+    most_s: float = 0.0
+
+    @property
+    def count(self) -> int:
+        """Number of latencies."""
+        return sum(self.buckets)
+
+
+class LatencyTally:
+    """Distributions of latency by label values."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._by_labels: dict[Labels, Distribution] = {}
+
+    def add(self, labels: Labels, latency_s: float) -> None:
+        """Sort one latency in."""
+        bucket = bisect_left(LATENCY_BOUNDS_S, latency_s)
+        with self._lock:
+            held = self._by_labels.get(labels)
+            if held is None:
+                held = self._by_labels[labels] = Distribution()
+            held.buckets[bucket] += 1
+            held.total_s += latency_s
+            held.least_s = min(held.least_s, latency_s)
+            held.most_s = max(held.most_s, latency_s)
+
+    def items(self) -> list[tuple[Labels, Distribution]]:
+        """Return copies of the distributions so far."""
+        with self._lock:
+            return [
+                (labels, attrs.evolve(held, buckets=list(held.buckets)))
+                for labels, held in self._by_labels.items()
+            ]
