Run granted requests on leaner threads

Cause: the gate's thread hand-off used an executor that builds a future for each request and keeps a raised exception to itself, which would lose a slot silently.

Ruled out: running the request on the thread that reads the links: it would stall every other peer for as long as the upstream takes.

Change: services/workers.py, a queue and threads started as needed, which logs what a run raises.

--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -3,7 +3,6 @@
 import statistics
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 
@@ -23,6 +22,7 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.health.judge import Observation, Result, UpstreamJudge
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Row, Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.upstream import (
@@ -67,7 +67,7 @@
         self._peer_digests = peer_digests
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
-        self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="gate")
+        self._pool = WorkerPool("gate", POOL_THREADS)
         self._upstream_by_id = {
             settings.id: _Upstream(
                 settings,
