Judge upstreams by sequential tests against their peers

Cause: the moving average ejected a healthy upstream at the first few slow answers of a heavy tail, saw a hang only once it ended, took a deadline that queueing had used up for a failure, and counted the reader's time as latency. Ruled out: a longer average (slower, and one extreme still carries it); a fixed threshold (ejects all in a common slowdown). Change: cumulative sums of bounded log-likelihood ratios, one for failures, shedding, empty answers, slowness and standstill, for each rank and for all. Latencies count by their place among the peers' percentiles, which travel in the digest. Running requests count as they pass the peers' tail. An ejection waits until the peers could show the same. Return by probe and ramp, each time out longer than the last; start is cold. The threshold is 14.

--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -176,4 +176,12 @@
 UPSTREAM_KEYS: tuple[Key, ...] = (
     Key("upstream", "service", _text, REQUIRED, "a name", "Service it belongs to."),
     Key("upstream", "url", _text, REQUIRED, "http://host:port", "Where it listens."),
+    Key(
+        "upstream",
+        "probe",
+        str,
+        "",
+        "a path, or nothing for no probes",
+        "Asked by GET while no request shows the upstream's health.",
+    ),
 )
--- a/chicorychute/conf/settings.py
+++ b/chicorychute/conf/settings.py
@@ -20,6 +20,7 @@
     id: str
     service: str
     url: str
+    probe: str = ""
 
 
 @attrs.frozen
@@ -85,7 +86,7 @@
         found = self._read_section(section, defaults.UPSTREAM_KEYS)
         if len(found) < len(defaults.UPSTREAM_KEYS):
             return None
-        return UpstreamSettings(name, found["service"], found["url"])
+        return UpstreamSettings(name, found["service"], found["url"], found["probe"])
 
     def _read_section(self, section: str, keys: Iterable[Key]) -> dict[str, Any]:
         key_by_name = {key.name: key for key in keys}
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -152,6 +152,29 @@
     detail: str
 
 
+@attrs.frozen
+class RankDigest:
+    """Recent results of one rank of work at an upstream.
+
+    Attributes
+    ----------
+    count : int
+        Results seen since the daemon started.
+    p50_ms, p90_ms : float
+        Percentiles of recent service times, 0 where none is known.
+    failure_share, shed_share, empty_share : float
+        Shares of recent results, 0 to 1.
+    """
+
+    rank: str
+    count: int
+    p50_ms: float
+    p90_ms: float
+    failure_share: float
+    shed_share: float
+    empty_share: float
+
+
 @attrs.frozen
 class UpstreamDigest:
     """Load and health of an upstream as its gate reports them.
@@ -164,6 +187,10 @@
         Share of recent requests that failed, 0 to 1.
     weight : float
         Share of its slots that a warming upstream may use, 0 to 1.
+    suspicion : float
+        Evidence against the upstream as a share of what ejects it, 0 to 1.
+    ranks : tuple of RankDigest
+        Recent results that peers of the service compare themselves with.
     """
 
     upstream: str
@@ -175,6 +202,10 @@
     latency_ms: float
     failure_share: float
     weight: float
+    suspicion: float = 0.0
+    ranks: tuple[RankDigest, ...] = attrs.field(
+        default=(), metadata={"item": RankDigest}
+    )
 
 
 @attrs.frozen
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -48,6 +48,7 @@
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
+PROBE_TICK_S = 0.1
 PLATFORM_RETRY_S = 1.0
 DRAIN_POLL_S = 0.05
 LEAVE_SETTLE_S = 0.5  # peers' last sends arrive before the drain is judged
@@ -143,6 +144,7 @@
         gossip_s = get("gossip", "interval_s").total_seconds()
         tickers = [
             Ticker("gate", QUEUE_TICK_S, self._gate.tick),
+            Ticker("probe", PROBE_TICK_S, self._gate.probe),
             Ticker("gossip", gossip_s, self._gossip),
         ]
         if platform is not None:
--- /dev/null
+++ b/chicorychute/health/evidence.py
@@ -0,0 +1,179 @@
+"""Observations of one upstream and what each says against its peers.
+
+A latency counts only by its place among the latencies that the peers report for
+the same rank of work. The log-likelihood ratio of a place is bounded, so that one
+extreme latency of a heavy tail can't carry a verdict.
+"""
+
+import enum
+import math
+import statistics
+from bisect import bisect_right
+from collections.abc import Iterable
+
+import attrs
+
+from chicorychute.core.messages import RankDigest, UpstreamDigest, Verdict
+
+BYTES_UNKNOWN = -1
+MIN_PEER_SAMPLES = 16
+LATENCY_TOLERANCE = 1.25  # healthy instances differ by this much
+LATENCY_SLACK_S = 0.005  # noise of scheduling, which no upstream answers for
+MIN_SPREAD = 1.5  # least ratio of the 90th to the 50th percentile
+TAIL_FACTORS = (1.0, 3.0, 10.0, 30.0, 100.0)  # boundaries, in 90th percentiles
+
+# Probabilities of the cells between the boundaries. The tail of a healthy upstream
+# is that of a Pareto distribution with exponent 1.2, heavier than most services.
+_HEALTHY = (0.5, 0.4, 0.073, 0.0207, 0.0046, 0.0013, 0.0004)
+_SLOW = (0.245, 0.475, 0.204, 0.0579, 0.0129, 0.0036, 0.0011)  # twice as slow
+_STALLED = (0.3, 0.25, 0.05, 0.05, 0.15, 0.1, 0.1)  # three in ten hang
+FIRST_TAIL_CELL = 2
+
+UNKNOWN_FAILURE_SHARE = 0.05  # assumed of peers that have not been heard
+SICK_SHARE = 0.25  # least share of bad results that the test looks for
+SICK_FACTOR = 4.0
+MAX_HEALTHY_SHARE = 0.5  # where more of the peers' results are bad, none is judged
+MAX_SICK_SHARE = 0.95
+
+
+class Result(enum.Enum):
+    """How a request at an upstream ended.
+
+    A request is TIMED_OUT where its own deadline came first, which says no more
+    than how long it ran, and EMPTY where a good status came without a body.
+    """
+
+    OK = "ok"
+    FAILED = "failed"
+    SHED = "shed"
+    EMPTY = "empty"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+class Channel(enum.IntEnum):
+    """Kind of sickness that a sequential test of its own looks for."""
+
+    FAILED = 0
+    SHED = 1
+    EMPTY = 2
+    SLOW = 3
+    STALLED = 4
+
+
+@attrs.frozen
+class Observation:
+    """Result of one request at the upstream.
+
+    Attributes
+    ----------
+    latency_s : float
+        Time between dispatch and the whole answer.
+    bytes : int
+        Length of the answer's body, ``BYTES_UNKNOWN`` where it says nothing.
+    """
+
+    rank: str
+    result: Result
+    latency_s: float
+    bytes: int = BYTES_UNKNOWN
+
+
+def result_of(observation: Observation) -> Result:
+    """Return the result, EMPTY where a good answer had no byte."""
+    if observation.result is Result.OK and observation.bytes == 0:
+        return Result.EMPTY
+    return observation.result
+
+
+@attrs.frozen
+class ShareTest:
+    """Increments of a test on the share of bad results."""
+
+    bad: float
+    good: float
+
+
+NO_TEST = ShareTest(0.0, 0.0)
+
+
+def share_test(peer_share: float, margin: float) -> ShareTest:
+    """Return the log-likelihood ratios against the peers' share.
+
+    Parameters
+    ----------
+    margin : float
+        Share above the peers' that is still healthy.
+    """
+    healthy = 1.5 * peer_share + margin
+    if healthy > MAX_HEALTHY_SHARE:
+        return NO_TEST
+    sick = min(max(SICK_SHARE, SICK_FACTOR * healthy), MAX_SICK_SHARE)
+    return ShareTest(
+        math.log(sick / healthy),
+        math.log((1 - sick) / (1 - healthy)),
+    )
+
+
+def _ratios(sick: tuple[float, ...]) -> tuple[float, ...]:
+    return tuple(math.log(s / h) for s, h in zip(sick, _HEALTHY, strict=True))
+
+
+SLOW_RATIOS = _ratios(_SLOW)
+STALLED_RATIOS = _ratios(_STALLED)
+
+
+@attrs.frozen
+class Baseline:
+    """What the peers' digests lead one to expect of one rank of work.
+
+    Attributes
+    ----------
+    bounds_s : tuple of float
+        Latencies between the cells, empty where no peer's are known.
+    """
+
+    bounds_s: tuple[float, ...]
+    failed: ShareTest
+    shed: ShareTest
+    empty: ShareTest
+
+    def cell(self, latency_s: float) -> int:
+        """Return the place of a latency among the peers'."""
+        return bisect_right(self.bounds_s, latency_s)
+
+
+UNKNOWN_BASELINE = Baseline(
+    (), share_test(UNKNOWN_FAILURE_SHARE, 0.02), NO_TEST, NO_TEST
+)
+
+
+def baselines(peers: Iterable[UpstreamDigest]) -> dict[str, Baseline]:
+    """Return the baseline of each rank that healthy peers report."""
+    heard: dict[str, list[RankDigest]] = {}
+    for peer in peers:
+        if peer.verdict is not Verdict.HEALTHY:
+            continue
+        for digest in peer.ranks:
+            if digest.count >= MIN_PEER_SAMPLES:
+                heard.setdefault(digest.rank, []).append(digest)
+    return {rank: _baseline(digests) for rank, digests in heard.items()}
+
+
+def _baseline(digests: list[RankDigest]) -> Baseline:
+    return Baseline(
+        _bounds([d for d in digests if d.p50_ms > 0]),
+        share_test(statistics.median(d.failure_share for d in digests), 0.02),
+        share_test(statistics.median(d.shed_share for d in digests), 0.05),
+        share_test(statistics.median(d.empty_share for d in digests), 0.02),
+    )
+
+
+def _bounds(digests: list[RankDigest]) -> tuple[float, ...]:
+    if not digests:
+        return ()
+    p50_s = statistics.median(d.p50_ms for d in digests) / 1000
+    p90_s = statistics.median(d.p90_ms for d in digests) / 1000
+    p50_s = LATENCY_TOLERANCE * p50_s + LATENCY_SLACK_S
+    p90_s = max(LATENCY_TOLERANCE * p90_s + LATENCY_SLACK_S, MIN_SPREAD * p50_s)
+    return (p50_s, *(factor * p90_s for factor in TAIL_FACTORS))
--- a/chicorychute/health/judge.py
+++ b/chicorychute/health/judge.py
@@ -1,105 +1,351 @@
 """Judges one upstream from first-hand results, relative to its peers."""
 
-import enum
+from collections.abc import Iterable
 
 import attrs
 
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import Verdict
+from chicorychute.core.messages import RankDigest, UpstreamDigest, Verdict
+from chicorychute.health.cusum import SUSPECT_LEVEL, CusumSet
+from chicorychute.health.evidence import (
+    FIRST_TAIL_CELL,
+    SLOW_RATIOS,
+    STALLED_RATIOS,
+    UNKNOWN_BASELINE,
+    Baseline,
+    Channel,
+    Observation,
+    Result,
+    baselines,
+    result_of,
+)
+from chicorychute.health.probe import CHECK_PERIOD_S, PROBE_PERIOD_S, PROBE_RANK
+from chicorychute.health.recent import RecentResults
+from chicorychute.health.rotation import Rotation
 
-MIN_EVIDENCE = 8
-DECAY = 0.8  # weight kept by older results with each new one
-FAILURE_LIMIT = 0.3
-SLOW_FACTOR = 4.0
-EJECTION_S = 3.0
-EJECTION_MAX_S = 60.0
+THRESHOLD = 14.0  # log-likelihood ratio that ejects, at sensitivity 1
+MIN_THRESHOLD = 4.0
+MIN_SUSPICION_S = 1.5  # the peers' digests must be able to show the same
+COMMON_SHARE = 0.5  # of the peers; above it the cause is common
+COMMON_HOLD_S = 5.0  # until the peers' digests show the common change in full
+DOUBT_FACTOR = 0.5  # of the threshold while an upstream returns
+DOUBT_LEVEL = 0.1  # suspicion that an idle upstream is probed for
+PROBE_THRESHOLD = 5.0
+PROBE_GOOD_RESULTS = 5
+PAUSE_S = 1.0  # silence of `tick` that means the daemon itself stood still
 
+TIMED_RESULTS = frozenset((Result.OK, Result.TIMED_OUT))
+SPEED_CHANNELS = frozenset((Channel.SLOW, Channel.STALLED))
+REASON_BY_CHANNEL = {
+    Channel.FAILED: "fails more often than its peers",
+    Channel.SHED: "sheds while its peers don't",
+    Channel.EMPTY: "answers without a body while its peers don't",
+    Channel.SLOW: "slower than its peers",
+    Channel.STALLED: "requests stand still",
+}
 
-class Result(enum.Enum):
-    """How a request at an upstream ended."""
 
-    OK = "ok"
-    FAILED = "failed"
-    SHED = "shed"
-    CANCELLED = "cancelled"
-
-
-@attrs.frozen
-class Observation:
-    """Result of one request at the upstream.
+@attrs.define(eq=False)
+class Attempt:
+    """Request that runs at the upstream.
 
     Attributes
     ----------
-    latency_s : float
-        Time between dispatch and the whole answer.
+    counted : int
+        Tail cell that already counts as evidence, 0 for none.
     """
 
     rank: str
-    result: Result
-    latency_s: float
+    started_s: float
+    counted: int = 0
+
+
+@attrs.define(eq=False)
+class _RankEvidence:
+    recent: RecentResults
+    sums: CusumSet
 
 
 class UpstreamJudge:
     """Verdict on one upstream.
 
+    `begin` and `observe` frame each request, `tick` runs at a steady pace, and
+    `take_peers` brings the digests that the upstream is compared with.
+
     Parameters
     ----------
     sensitivity : float
         Above 1 ejects sooner, below 1 later.
+    cold : bool
+        Whether the upstream must warm up before its speed is judged.
     """
 
-    def __init__(self, clock: Clock, sensitivity: float = 1.0):
+    def __init__(self, clock: Clock, sensitivity: float = 1.0, cold: bool = False):
         self._clock = clock
         self.sensitivity = sensitivity
-        self.latency_s = 0.0
-        self.failure_share = 0.0
-        self._seen = 0
-        self._ejections = 0
-        self._ejected_until_s = 0.0
-        self._verdict = Verdict.HEALTHY
         self.reason = ""
+        self._all = CusumSet()
+        self._evidence_by_rank: dict[str, _RankEvidence] = {}
+        self._baseline_by_rank: dict[str, Baseline] = {}
+        self._attempts: set[Attempt] = set()
+        self._rotation = Rotation(clock.monotonic(), cold)
+        self._common_until_s: float | None = None
+        self._valid_from_s = clock.monotonic()
+        self._began_s = clock.monotonic()
+        self._ticked_s: float | None = None
+        self._good_probes = 0
+        self._ejected_by_probe = False
+        self._last_rank = ""
+        self._reached = False
 
-    def observe(self, observation: Observation, peer_latency_s: float) -> None:
-        """Add one result; `peer_latency_s` is the peers' median, 0 if unknown."""
-        if observation.result is Result.CANCELLED:
-            return
-        failed = observation.result is Result.FAILED
-        self._seen += 1
-        weight = max(1 - DECAY, 1 / self._seen)
-        self.failure_share += weight * (failed - self.failure_share)
-        self.latency_s += weight * (observation.latency_s - self.latency_s)
-        if self._verdict is Verdict.PROBING:
-            self._finish_probe(failed, peer_latency_s)
-        elif self._verdict is Verdict.HEALTHY and self._seen >= MIN_EVIDENCE:
-            self._consider_ejection(peer_latency_s)
+    @property
+    def latency_s(self) -> float:
+        """Median service time of the most used rank, 0 if none is known."""
+        digests = self.rank_digests()
+        return max(digests, key=_count).p50_ms / 1000 if digests else 0.0
+
+    @property
+    def failure_share(self) -> float:
+        """Share of recent requests that failed."""
+        digests = self.rank_digests()
+        total = sum(digest.count for digest in digests)
+        failed = sum(digest.failure_share * digest.count for digest in digests)
+        return failed / total if total else 0.0
+
+    @property
+    def suspicion(self) -> float:
+        """Greatest evidence as a share of what ejects, 0 to 1."""
+        threshold = self._threshold(self._clock.monotonic())
+        return min(self._highest()[0] / threshold, 1.0)
+
+    @property
+    def weight(self) -> float:
+        """Share of its slots that a returning upstream should be given."""
+        return self._rotation.weight(self._clock.monotonic())
+
+    @property
+    def ejections(self) -> int:
+        """Ejections since the start."""
+        return self._rotation.ejections
+
+    def rank_digests(self) -> tuple[RankDigest, ...]:
+        """Return the summary of each rank for the own digest."""
+        return tuple(e.recent.digest() for e in self._evidence_by_rank.values())
+
+    def take_peers(self, peers: Iterable[UpstreamDigest]) -> None:
+        """Replace the digests of the service's other upstreams."""
+        known = [peer for peer in peers if peer.verdict is not Verdict.COLD]
+        self._baseline_by_rank = baselines(known)
+        suspect = sum(
+            peer.verdict is Verdict.SICK or peer.suspicion >= SUSPECT_LEVEL
+            for peer in known
+        )
+        if suspect > COMMON_SHARE * len(known):
+            self._common_until_s = self._clock.monotonic() + COMMON_HOLD_S
 
     def verdict(self) -> Verdict:
         """Return the verdict now; an ejected upstream comes up for probing."""
-        now = self._clock.monotonic()
-        if self._verdict is Verdict.SICK and now >= self._ejected_until_s:
-            self._verdict = Verdict.PROBING
-        return self._verdict
-
-    def _consider_ejection(self, peer_latency_s: float) -> None:
-        if self.failure_share * self.sensitivity > FAILURE_LIMIT:
-            self._eject(f"{self.failure_share:.0%} of requests failed")
-        elif 0 < peer_latency_s * SLOW_FACTOR < self.latency_s * self.sensitivity:
-            ratio = self.latency_s / peer_latency_s
-            self._eject(f"{ratio:.1f} times as slow as its peers")
-
-    def _finish_probe(self, failed: bool, peer_latency_s: float) -> None:
-        slow = 0 < peer_latency_s * SLOW_FACTOR < self.latency_s
-        if failed or slow:
-            self._eject("probe failed" if failed else "probe was slow")
+        now_s = self._clock.monotonic()
+        if self._rotation.advance(now_s):
+            self._forget(now_s)
+        return self._rotation.verdict
+
+    def begin(self, rank: str) -> Attempt:
+        """Note that a request was dispatched."""
+        attempt = Attempt(rank, self._clock.monotonic())
+        self._began_s = attempt.started_s
+        self._attempts.add(attempt)
+        return attempt
+
+    def probe_due(self) -> bool:
+        """Return whether the upstream should be probed now."""
+        if self.verdict() is Verdict.SICK:
+            return False
+        probing = self._rotation.verdict is Verdict.PROBING
+        doubt = probing or self.suspicion >= DOUBT_LEVEL
+        period_s = CHECK_PERIOD_S if doubt else PROBE_PERIOD_S
+        return self._clock.monotonic() - self._began_s >= period_s
+
+    def answered(self, attempt: Attempt) -> None:
+        """Note that the answer has begun; the rest depends on its reader too."""
+        self._attempts.discard(attempt)
+
+    def tick(self) -> None:
+        """Count requests that run longer than the peers' do, and decide."""
+        now_s = self._clock.monotonic()
+        self._notice_pause(now_s)
+        self._ticked_s = now_s
+        self.verdict()
+        for attempt in self._attempts:
+            if attempt.started_s >= self._valid_from_s:
+                self._count_running(attempt, now_s - attempt.started_s)
+        self._decide(now_s)
+
+    def observe(self, observation: Observation, attempt: Attempt | None = None) -> None:
+        """Add the end of a request."""
+        now_s = self._clock.monotonic()
+        self._notice_pause(now_s)
+        counted = 0
+        started_s = now_s - observation.latency_s
+        if attempt is not None:
+            self._attempts.discard(attempt)
+            counted = attempt.counted
+            started_s = attempt.started_s
+        result = result_of(observation)
+        if result is Result.CANCELLED or started_s < self._valid_from_s:
             return
-        self._verdict = Verdict.HEALTHY
-        self.reason = ""
-        self._seen = 0
-        self.failure_share = 0.0
-
-    def _eject(self, reason: str) -> None:
-        self._ejections += 1
-        hold_s = min(EJECTION_S * 2 ** (self._ejections - 1), EJECTION_MAX_S)
-        self._ejected_until_s = self._clock.monotonic() + hold_s
-        self._verdict = Verdict.SICK
+        evidence = self._evidence(observation.rank)
+        evidence.recent.add(result, observation.latency_s)
+        if self.verdict() is Verdict.SICK:
+            return
+        self._count(evidence, observation.latency_s, result, counted)
+        if self._proves_health(observation, result):
+            self._good_probes += 1
+        self._decide(now_s)
+
+    def _proves_health(self, observation: Observation, result: Result) -> bool:
+        """Return whether a result counts towards a return.
+
+        An upstream may answer its probe path and fail all else, so that probes
+        only bring back what they took out.
+        """
+        if result is not Result.OK:
+            return False
+        if observation.rank == PROBE_RANK and not self._ejected_by_probe:
+            return False
+        cell = self._baseline(observation.rank).cell(observation.latency_s)
+        return cell < FIRST_TAIL_CELL
+
+    def _count(
+        self, evidence: _RankEvidence, latency_s: float, result: Result, counted: int
+    ) -> None:
+        baseline = self._baseline(evidence.recent.rank)
+        if result is not Result.TIMED_OUT:
+            for channel, bad, test in (
+                (Channel.FAILED, Result.FAILED, baseline.failed),
+                (Channel.SHED, Result.SHED, baseline.shed),
+                (Channel.EMPTY, Result.EMPTY, baseline.empty),
+            ):
+                self._add(evidence, channel, test.bad if result is bad else test.good)
+        if not baseline.bounds_s or result not in TIMED_RESULTS:
+            return
+        cell = baseline.cell(latency_s)
+        if result is Result.TIMED_OUT and cell < FIRST_TAIL_CELL:
+            return
+        self._add_latency(evidence, cell, counted)
+
+    def _count_running(self, attempt: Attempt, elapsed_s: float) -> None:
+        baseline = self._baseline(attempt.rank)
+        cell = baseline.cell(elapsed_s)
+        if cell >= FIRST_TAIL_CELL and cell > attempt.counted:
+            self._add_latency(self._evidence(attempt.rank), cell, attempt.counted)
+            attempt.counted = cell
+
+    def _add_latency(self, evidence: _RankEvidence, cell: int, counted: int) -> None:
+        """Add the place of a latency, less what the running request counted for."""
+        slow = SLOW_RATIOS[cell]
+        stalled = STALLED_RATIOS[cell]
+        if counted:
+            slow -= SLOW_RATIOS[counted]
+            stalled -= STALLED_RATIOS[counted]
+        self._add(evidence, Channel.SLOW, slow)
+        self._add(evidence, Channel.STALLED, stalled)
+
+    def _add(self, evidence: _RankEvidence, channel: Channel, ratio: float) -> None:
+        if ratio < 0.0 and not self._all.values[channel]:
+            if not evidence.sums.values[channel]:
+                return
+        elif ratio == 0.0:
+            return
+        self._last_rank = evidence.recent.rank
+        now_s = self._clock.monotonic()
+        limit = self._threshold(now_s)
+        self._reached |= self._all.add(channel, ratio, now_s, limit)
+        if len(self._evidence_by_rank) > 1:
+            self._reached |= evidence.sums.add(channel, ratio, now_s, limit)
+
+    def _decide(self, now_s: float) -> None:
+        match self._rotation.verdict:
+            case Verdict.HEALTHY | Verdict.COLD if self._reached:
+                self._consider_ejection(now_s)
+            case Verdict.PROBING:
+                self._consider_return(now_s)
+
+    def _consider_ejection(self, now_s: float) -> None:
+        """Eject for evidence that stood long enough for the peers' to be heard."""
+        threshold = self._threshold(now_s)
+        highest = [(sums, *sums.highest()) for sums in self._sums()]
+        reached = [
+            (sums, channel) for sums, value, channel in highest if value >= threshold
+        ]
+        self._reached = bool(reached)
+        if self._common(now_s):
+            return
+        for sums, channel in reached:
+            if self._rotation.verdict is Verdict.COLD and channel in SPEED_CHANNELS:
+                continue
+            if now_s - sums.suspect_since_s[channel] >= MIN_SUSPICION_S:
+                self._ejected_by_probe = self._last_rank == PROBE_RANK
+                self._eject(REASON_BY_CHANNEL[channel], now_s)
+                return
+
+    def _common(self, now_s: float) -> bool:
+        """Return whether the cause is common; its evidence is dropped at the end."""
+        if self._common_until_s is None:
+            return False
+        if now_s >= self._common_until_s:
+            self._common_until_s = None
+            self._forget(now_s)
+        return True
+
+    def _consider_return(self, now_s: float) -> None:
+        value, channel = self._highest()
+        if value >= PROBE_THRESHOLD:
+            self._eject(f"probe: {REASON_BY_CHANNEL[channel]}", now_s)
+        elif self._good_probes >= PROBE_GOOD_RESULTS or self._rotation.unproven(now_s):
+            self._rotation.restore(now_s)
+            self.reason = ""
+            self._forget(now_s)
+
+    def _eject(self, reason: str, now_s: float) -> None:
+        self._rotation.eject(now_s)
         self.reason = reason
+        self._forget(now_s)
+
+    def _forget(self, now_s: float) -> None:
+        """Drop evidence of requests dispatched before now."""
+        self._valid_from_s = now_s
+        self._good_probes = 0
+        for sums in self._sums():
+            sums.clear()
+
+    def _notice_pause(self, now_s: float) -> None:
+        if self._ticked_s is not None and now_s - self._ticked_s > PAUSE_S:
+            self._ticked_s = now_s
+            self._forget(now_s)
+
+    def _threshold(self, now_s: float) -> float:
+        threshold = max(THRESHOLD / self.sensitivity, MIN_THRESHOLD)
+        if self._rotation.returning(now_s):
+            return threshold * DOUBT_FACTOR
+        return threshold
+
+    def _sums(self) -> list[CusumSet]:
+        return [self._all, *(e.sums for e in self._evidence_by_rank.values())]
+
+    def _highest(self) -> tuple[float, Channel]:
+        return max(sums.highest() for sums in self._sums())
+
+    def _evidence(self, rank: str) -> _RankEvidence:
+        evidence = self._evidence_by_rank.get(rank)
+        if evidence is None:
+            evidence = _RankEvidence(RecentResults(rank), CusumSet())
+            self._evidence_by_rank[rank] = evidence
+        return evidence
+
+    def _baseline(self, rank: str) -> Baseline:
+        return self._baseline_by_rank.get(rank, UNKNOWN_BASELINE)
+
+
+def _count(digest: RankDigest) -> int:
+    return digest.count
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -1,6 +1,5 @@
 """Gate of the upstreams beside the daemon: the only way to them."""
 
-import statistics
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -19,9 +18,11 @@
 )
 from chicorychute.conf.settings import UpstreamSettings
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import UpstreamDigest, Verdict, Work
+from chicorychute.core.messages import UpstreamDigest, Work
 from chicorychute.core.outcomes import Outcome, Reason
-from chicorychute.health.judge import Observation, Result, UpstreamJudge
+from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
+from chicorychute.health.judge import Attempt, UpstreamJudge
+from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
 from chicorychute.table.rows import Row, Table
 from chicorychute.telemetry.tracing import Tracing
@@ -34,6 +35,7 @@
 POOL_THREADS = 256
 SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
+BODY_STATUSES = frozenset((200, 201, 203, 206))  # answers that should have a body
 
 Starter = Callable[[Decision], None]
 
@@ -72,7 +74,7 @@
             settings.id: _Upstream(
                 settings,
                 UpstreamQueue(0, (), clock),
-                UpstreamJudge(clock),
+                UpstreamJudge(clock, cold=True),
                 UpstreamClient(settings.url, POOL_THREADS),
             )
             for settings in upstreams
@@ -92,6 +94,7 @@
 
     def digests(self) -> tuple[UpstreamDigest, ...]:
         """Return load and health of every local upstream."""
+        self._compare_with_peers()
         with self._lock:
             return tuple(
                 UpstreamDigest(
@@ -103,7 +106,9 @@
                     upstream.queue.queued,
                     upstream.judge.latency_s * 1000,
                     upstream.judge.failure_share,
-                    1.0,
+                    upstream.judge.weight,
+                    upstream.judge.suspicion,
+                    upstream.judge.rank_digests(),
                 )
                 for upstream in self._upstream_by_id.values()
             )
@@ -121,9 +126,10 @@
             )
 
     def tick(self) -> None:
-        """Drop requests past their deadline."""
+        """Drop requests past their deadline, and judge those that run long."""
         for upstream in self._upstream_by_id.values():
             with self._lock:
+                upstream.judge.tick()
                 decisions = upstream.queue.advance()
             self._deliver(decisions)
 
@@ -159,30 +165,77 @@
         upstream = self._upstream_by_id[upstream_id]
         started_s = self._clock.monotonic()
         timeout_s = deadline_s - started_s
+        with self._lock:
+            attempt = upstream.judge.begin(work.rank)
         if timeout_s <= 0:
-            self._finish(upstream, work.rank, Result.CANCELLED, started_s)
+            self._finish(upstream, attempt, Observation(work.rank, Result.CANCELLED, 0))
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         with self._tracing.span("upstream", work.traceparent) as traceparent:
             work = attrs.evolve(work, traceparent=traceparent)
             try:
                 answer = upstream.client.send(work, body, timeout_s)
             except UpstreamFailure as failure:
-                self._finish(upstream, work.rank, Result.FAILED, started_s)
+                latency_s = self._clock.monotonic() - started_s
+                result = _result_of_failure(failure)
+                observation = Observation(work.rank, result, latency_s)
+                self._finish(upstream, attempt, observation)
                 return Refused(failure.outcome, failure.reason, failure.detail)
+        with self._lock:
+            upstream.judge.answered(attempt)
+        may_be_empty = work.method == "HEAD" or answer.status not in BODY_STATUSES
         body = _AnswerBody(
             answer,
-            lambda result: self._finish(upstream, work.rank, result, started_s),
+            self._clock,
+            self._clock.monotonic() - started_s,
+            lambda result, latency_s, size: self._finish(
+                upstream,
+                attempt,
+                Observation(
+                    work.rank,
+                    result,
+                    latency_s,
+                    BYTES_UNKNOWN if may_be_empty else size,
+                ),
+            ),
         )
         return Answer(answer.status, answer.headers, answer.length, body, upstream_id)
 
+    def probe(self) -> None:
+        """Ask each upstream whose health no request shows for its probe path."""
+        for upstream in self._upstream_by_id.values():
+            if not upstream.settings.probe:
+                continue
+            with self._lock:
+                if not upstream.judge.probe_due():
+                    continue
+                attempt = upstream.judge.begin(PROBE_RANK)
+            self.in_pool(lambda u=upstream, a=attempt: self._run_probe(u, a))
+
+    def _run_probe(self, upstream: _Upstream, attempt: Attempt) -> None:
+        result = Result.FAILED
+        try:
+            work = probe_work(upstream.settings.service, upstream.settings.probe)
+            answer = upstream.client.send(work, b"", PROBE_TIMEOUT_S)
+            for _ in answer.chunks:
+                pass
+            result = _result_of(answer.status)
+        except UpstreamFailure:
+            pass
+        latency_s = self._clock.monotonic() - attempt.started_s
+        with self._lock:
+            upstream.judge.observe(Observation(PROBE_RANK, result, latency_s), attempt)
+
+    def _compare_with_peers(self) -> None:
+        for upstream in self._upstream_by_id.values():
+            peers = self._peer_digests(upstream.settings.service)
+            with self._lock:
+                upstream.judge.take_peers(peers)
+
     def _finish(
-        self, upstream: _Upstream, rank: str, result: Result, started_s: float
+        self, upstream: _Upstream, attempt: Attempt, observation: Observation
     ) -> None:
-        latency_s = self._clock.monotonic() - started_s
-        peers = self._peer_digests(upstream.settings.service)
-        peer_latency_s = _median_latency_s(peers)
         with self._lock:
-            upstream.judge.observe(Observation(rank, result, latency_s), peer_latency_s)
+            upstream.judge.observe(observation, attempt)
             decisions = upstream.queue.release()
         self._deliver(decisions)
 
@@ -194,10 +247,23 @@
 
 
 class _AnswerBody:
-    """Body of an answer; reports its result once, at its end or on `close`."""
+    """Body of an answer; reports its result once, at its end or on `close`.
 
-    def __init__(self, answer: UpstreamAnswer, finish: Callable[[Result], None]):
+    The latency reported is the time spent waiting for the upstream; the time that
+    the reader of the body takes is not the upstream's.
+    """
+
+    def __init__(
+        self,
+        answer: UpstreamAnswer,
+        clock: Clock,
+        head_s: float,
+        finish: Callable[[Result, float, int], None],
+    ):
         self._answer = answer
+        self._clock = clock
+        self._waited_s = head_s
+        self._size = 0
         self._finish = finish
         self._finished = False
 
@@ -205,14 +271,20 @@
         return self
 
     def __next__(self) -> bytes:
+        asked_s = self._clock.monotonic()
         try:
-            return next(self._answer.chunks)
+            chunk = next(self._answer.chunks)
         except StopIteration:
+            self._waited_s += self._clock.monotonic() - asked_s
             self._end(_result_of(self._answer.status))
             raise
         except UpstreamFailure as failure:
-            self._end(Result.FAILED)
+            self._waited_s += self._clock.monotonic() - asked_s
+            self._end(_result_of_failure(failure))
             raise AnswerBroken(failure.detail) from failure
+        self._waited_s += self._clock.monotonic() - asked_s
+        self._size += len(chunk)
+        return chunk
 
     def close(self) -> None:
         """Give the rest up; the connection to the upstream is closed."""
@@ -223,7 +295,7 @@
     def _end(self, result: Result) -> None:
         if not self._finished:
             self._finished = True
-            self._finish(result)
+            self._finish(result, self._waited_s, self._size)
 
 
 def _policies(rows: Iterable[Row]) -> tuple[RankPolicy, ...]:
@@ -236,10 +308,7 @@
     return Result.FAILED if status >= SERVER_ERROR else Result.OK
 
 
-def _median_latency_s(digests: list[UpstreamDigest]) -> float:
-    known = [
-        digest.latency_ms / 1000
-        for digest in digests
-        if digest.latency_ms > 0 and digest.verdict is Verdict.HEALTHY
-    ]
-    return statistics.median(known) if known else 0.0
+def _result_of_failure(failure: UpstreamFailure) -> Result:
+    """Return TIMED_OUT where the request's own deadline ended it."""
+    timed_out = failure.reason is Reason.DEADLINE
+    return Result.TIMED_OUT if timed_out else Result.FAILED
--- /dev/null
+++ b/tests/health/test_detection.py
@@ -0,0 +1,104 @@
+"""Detection and false ejections over generated traffic of fixed seeds."""
+
+import attrs
+import pytest
+
+from chicorychute.replay.baselines import MovingAverageJudge
+from chicorychute.replay.detection import MeasuredJudge, Run
+from chicorychute.replay.traffic import Fault, Flood, Swing, Traffic
+
+TARGET_S = 3.0
+START_S = 20.0
+SICK = (0,)
+ALL = tuple(range(Traffic().upstreams))
+TRAFFIC = Traffic()
+
+
+def measure(traffic, faults, seconds, seed, make_judge=MeasuredJudge):
+    return Run(traffic, faults, make_judge, seed).measure(seconds)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(SICK, START_S, slow_factor=10),
+        Fault(SICK, START_S, fail_share=1 / 3),
+        Fault(SICK, START_S, empty_share=1 / 3),
+        Fault(SICK, START_S, fail_share=1.0),
+    ],
+    ids=["ten-times-slow", "third-fails", "third-empty", "all-fail"],
+)
+def test_sick_upstream_is_out_within_the_target(fault, seed):
+    measured = measure(TRAFFIC, (fault,), START_S + 10, seed)
+    assert measured.detection_s(fault) <= TARGET_S
+    assert not measured.false_ejections((fault,))
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(SICK, START_S, slow_factor=2),
+        Fault(SICK, START_S, slow_factor=10, rank="order"),
+        Fault(SICK, START_S, hang_share=1.0),
+        Fault(SICK, START_S, hang_share=0.3),
+        Fault(SICK, START_S, shed_share=0.5),
+        *(Fault(SICK, START_S, fail_share=1.0, period_s=p) for p in (1, 8, 60)),
+    ],
+    ids=[
+        "twice",
+        "one-rank",
+        "hangs",
+        "some-hang",
+        "sheds",
+        "flap1",
+        "flap8",
+        "flap60",
+    ],
+)
+def test_sick_upstream_is_ejected_and_no_other(fault):
+    measured = measure(TRAFFIC, (fault,), 120, 1)
+    assert measured.detection_s(fault) is not None
+    assert not measured.false_ejections((fault,))
+
+
+@pytest.mark.parametrize(
+    "traffic",
+    [
+        TRAFFIC,
+        attrs.evolve(TRAFFIC, swing=Swing(0.8, 20)),
+        attrs.evolve(TRAFFIC, flood=Flood(20, 60, 8.0)),
+        attrs.evolve(TRAFFIC, digest_delay_s=2.0),
+    ],
+    ids=["noise", "swing", "flood", "slow-region-link"],
+)
+def test_healthy_heavy_tails_eject_none(traffic):
+    assert measure(traffic, (), 120, 5).ejections == ()
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(ALL, START_S, slow_factor=3),
+        Fault(ALL, START_S, slow_factor=10),
+        Fault(ALL, START_S, fail_share=0.5),
+        Fault(ALL, START_S, fail_share=1.0),
+        Fault(ALL, START_S, hang_share=1.0),
+        Fault(ALL, START_S, shed_share=0.5),
+        Fault(ALL, START_S, slow_factor=10, period_s=20),
+    ],
+    ids=["slow3", "slow10", "fail-half", "fail", "hang", "shed", "slow-flapping"],
+)
+def test_what_hits_all_ejects_none(fault, seed):
+    assert measure(TRAFFIC, (fault,), 60, seed).ejections == ()
+
+
+def test_flapping_upstream_is_out_for_most_of_the_time():
+    fault = Fault(SICK, START_S, fail_share=1.0, period_s=8)
+    measured = measure(TRAFFIC, (fault,), START_S + 200, 1)
+    assert measured.out_s[0] > 100
+
+
+def test_the_moving_average_ejects_healthy_upstreams_on_the_same_traffic():
+    assert len(measure(TRAFFIC, (), 60, 5, MovingAverageJudge).ejections) > 1
