Hold the floor in slots of healthy, warm and live upstreams

Cause: cold and probing upstreams counted as healthy, upstreams were counted instead of slots, a suspected instance left the total that the floor is a share of, and a probed upstream got full traffic. Ruled out: to count lost instances in the total (replaced ones stay in the view, and would keep sick ones in rotation for good). Change: eligible counts slots by weight; sick ones are added least sick first; a probed one gets a tenth of its share, by a draw of the entry, never an order. The choice weighs two healthy ones against one kept for the floor. Three random choices of one healthy and two sick would have met a sick one more often than not.

--- a/chicorychute/routing/candidates.py
+++ b/chicorychute/routing/candidates.py
@@ -1,6 +1,5 @@
 """Upstreams that a request may be sent to."""
 
-import math
 from collections.abc import Iterable
 
 import attrs
@@ -12,6 +11,10 @@
     Verdict,
 )
 
+PRESENT = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+IN_ROTATION = frozenset((Verdict.HEALTHY, Verdict.COLD))
+PROBE_SHARE = 0.1  # of its share of the work, for an upstream that is probed
+
 
 class Distance:
     """Steps from the entry to a gate, nearest first."""
@@ -24,11 +27,19 @@
 
 @attrs.frozen
 class Candidate:
-    """One upstream with what the entry knows about the way to it."""
+    """One upstream with what the entry knows about the way to it.
+
+    Attributes
+    ----------
+    trial : bool
+        Whether the request shall show if the upstream may return.
+    """
 
     instance: str
     digest: UpstreamDigest
     distance: int
+    status: MemberStatus = MemberStatus.ALIVE
+    trial: bool = False
 
 
 def distance_between(own: MemberRecord, other: MemberRecord) -> int:
@@ -42,31 +53,63 @@
     return Distance.BEYOND
 
 
-def eligible(candidates: Iterable[Candidate], floor: float) -> list[Candidate]:
+def eligible(
+    candidates: Iterable[Candidate], floor: float, draw: float = 1.0
+) -> list[Candidate]:
     """Drop sick upstreams as far as the floor allows.
 
+    Capacity is counted in slots. Only upstreams that are alive, healthy and warm
+    count towards the floor; cold ones stay in rotation without counting.
+
     Parameters
     ----------
     candidates : iterable of Candidate
-        Every live upstream of the service.
+        Every upstream of the service.
     floor : float
-        Share of them, 0 to 1, that must stay in rotation.
+        Share of the capacity, 0 to 1, that must stay in rotation.
+    draw : float
+        Random number from 0 to 1, by which few requests go to an upstream that is
+        probed for its return; 1 sends none.
 
     Returns
     -------
     list of Candidate
         The healthy ones, topped up to the floor with the least sick.
     """
-    known = list(candidates)
-    kept = [c for c in known if c.digest.verdict is not Verdict.SICK]
-    needed = math.ceil(floor * len(known))
-    if len(kept) >= needed:
-        return kept
-    sick = [c for c in known if c.digest.verdict is Verdict.SICK]
-    sick.sort(key=lambda c: (c.digest.failure_share, c.digest.latency_ms))
-    return kept + sick[: needed - len(kept)]
-
-
-def live(statuses: Iterable[tuple[MemberRecord, MemberStatus]]) -> list[MemberRecord]:
-    """Return the records of instances that may get new work."""
-    return [record for record, status in statuses if status is MemberStatus.ALIVE]
+    known = [c for c in candidates if c.status in PRESENT]
+    alive = [c for c in known if c.status is MemberStatus.ALIVE]
+    kept = [c for c in alive if c.digest.verdict in IN_ROTATION]
+    total = sum(c.digest.slots for c in known)
+    missing = floor * total - sum(map(_healthy_slots, kept))
+    ejected = [c for c in alive if c.digest.verdict not in IN_ROTATION]
+    for candidate in sorted(ejected, key=_sickness):
+        if missing > 0:
+            kept.append(candidate)
+            missing -= candidate.digest.slots
+        elif _is_trial(candidate, draw, total):
+            kept.append(attrs.evolve(candidate, trial=True))
+    return kept
+
+
+def _healthy_slots(candidate: Candidate) -> float:
+    digest = candidate.digest
+    return digest.slots * digest.weight if digest.verdict is Verdict.HEALTHY else 0.0
+
+
+def _sickness(candidate: Candidate) -> tuple[bool, float, float, float, str]:
+    """Return the key that puts the least sick first; names settle ties."""
+    digest = candidate.digest
+    return (
+        digest.verdict is Verdict.SICK,
+        digest.failure_share,
+        digest.suspicion,
+        digest.latency_ms,
+        digest.upstream,
+    )
+
+
+def _is_trial(candidate: Candidate, draw: float, total: int) -> bool:
+    digest = candidate.digest
+    if digest.verdict is not Verdict.PROBING:
+        return False
+    return draw * total < PROBE_SHARE * digest.slots
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -13,6 +13,7 @@
     Distance.REGION: 2.0,
     Distance.BEYOND: 60.0,
 }
+EJECTED = frozenset((Verdict.SICK, Verdict.PROBING))
 SICK_PENALTY = 8.0
 
 
@@ -37,7 +38,7 @@
     ahead = max(digest.queued + digest.in_flight, sent) + 1
     rounds = max(1.0, ahead / max(digest.slots * digest.weight, 1.0))
     predicted = TRAVEL_MS[candidate.distance] + rounds * service_ms
-    if digest.verdict is Verdict.SICK:
+    if digest.verdict in EJECTED:
         predicted *= SICK_PENALTY
     return predicted
 
@@ -50,12 +51,21 @@
 ) -> Choice | None:
     """Choose the better of two random candidates not tried yet.
 
-    The method is the power of two choices (Mitzenmacher, 2001).
+    The method is the power of two choices (Mitzenmacher, 2001). An ejected one
+    that the floor keeps is a third choice, so that it gets the least work, and one
+    on trial is taken at once.
     """
     fresh = [c for c in candidates if c.digest.upstream not in tried]
     if not fresh:
         return None
-    picked = rng.sample(fresh, min(2, len(fresh)))
+    trials = [c for c in fresh if c.trial]
+    if trials:
+        trial = rng.choice(trials)
+        return Choice(trial, predict_ms(trial, 0))
+    healthy = [c for c in fresh if c.digest.verdict not in EJECTED]
+    ejected = [c for c in fresh if c.digest.verdict in EJECTED]
+    picked = rng.sample(healthy, min(2, len(healthy)))
+    picked += rng.sample(ejected, min(1, len(ejected)))
     choices = [
         Choice(c, predict_ms(c, outstanding_by_upstream.get(c.digest.upstream, 0)))
         for c in picked
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -101,9 +101,11 @@
             return self._budget_by_service.setdefault(service, RetryBudget())
 
     def _choose(self, request: Request, tried: frozenset[str]) -> Candidate | None:
-        candidates = eligible(
-            self._fleet.candidates(request.row.service), request.row.floor
-        )
+        row = request.row
+        # An order is no request to try a doubtful upstream with.
+        draw = self._rng.random() if row.repeat is Repeat.IDEMPOTENT else 1.0
+        known = self._fleet.candidates(row.service)
+        candidates = eligible(known, row.floor, draw)
         choice = choose(candidates, self._outstanding_by_upstream, tried, self._rng)
         return None if choice is None else choice.candidate
 
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -18,7 +18,7 @@
 from chicorychute.membership.view import MembershipView, Send
 from chicorychute.platform.base import ListedInstance, PlatformBackend
 from chicorychute.platform.pacing import ReadPace
-from chicorychute.routing.candidates import Candidate, distance_between
+from chicorychute.routing.candidates import PRESENT, Candidate, distance_between
 from chicorychute.services.senders import Address, Senders
 from chicorychute.transport.links import Link
 
@@ -74,10 +74,17 @@
             ]
 
     def candidates(self, service: str) -> list[Candidate]:
-        """Return the live upstreams of a service."""
+        """Return the upstreams of a service on live and suspected instances."""
+        own = self.own()
+        with self._lock:
+            statuses = [
+                (record, self._view.status_of(record.instance))
+                for record in self._view.hosts(service)
+            ]
         return [
-            Candidate(record.instance, digest, distance_between(self.own(), record))
-            for record in self.hosts(service)
+            Candidate(record.instance, digest, distance_between(own, record), status)
+            for record, status in statuses
+            if status in PRESENT
             for digest in record.upstreams
             if digest.service == service
         ]
@@ -94,7 +101,11 @@
     def peer_digests(self, service: str) -> list[UpstreamDigest]:
         """Return the digests of a service's upstreams on other instances."""
         own = self._view.own.instance
-        return [c.digest for c in self.candidates(service) if c.instance != own]
+        return [
+            c.digest
+            for c in self.candidates(service)
+            if c.instance != own and c.status is MemberStatus.ALIVE
+        ]
 
     def publish(
         self,
