Replay traces through today's queue, judge and floor

Cause: a decision could be argued and not measured; no trace stated an outcome. Ruled out: to replay recorded verdicts (shows nothing of a change), and to model the network (a simulator of clusters). Change: traces are JSON lines with a version; `chicorychute replay` feeds them to the decisions on a virtual clock, prints detection, false ejections and service level by rank and in a flood, and names an outcome that does not hold with its first wrong event.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that need the repository; the others are in chicorychute.bench."""
--- /dev/null
+++ b/chicorychute/core/management/commands/replay.py
@@ -0,0 +1,88 @@
+"""Replays a recorded trace through today's decisions."""
+
+import argparse
+import json
+from pathlib import Path
+
+from chicorychute.core.management.base import (
+    EXIT_BAD_INPUT,
+    EXIT_FAILED,
+    EXIT_OK,
+    BaseCommand,
+    CommandError,
+)
+from chicorychute.replay.exceptions import TraceError
+from chicorychute.replay.measures import Measures
+from chicorychute.replay.outcomes import Broken, broken_outcomes, read_outcomes
+from chicorychute.replay.player import Player
+from chicorychute.replay.trace import read_trace
+
+
+class Command(BaseCommand):
+    """Print the measures of a trace and the outcomes that do not hold."""
+
+    help = "Replay a trace on a virtual clock and check its stated outcomes."
+    examples = (
+        "examples:\n  chicorychute replay day.jsonl\n"
+        "  chicorychute replay day.jsonl --expect day.outcomes.json --json\n"
+        "exit codes: 0 all held, 1 an outcome did not hold, 2 bad input"
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the files."""
+        parser.add_argument("trace", type=Path, help="file that run --record wrote")
+        parser.add_argument("--expect", type=Path, help="JSON file of stated outcomes")
+        parser.add_argument("--json", action="store_true", help="print JSON")
+
+    def handle(self, options: argparse.Namespace) -> int:
+        """Replay, then compare."""
+        try:
+            with _open(options.trace) as lines:
+                events = list(read_trace(lines))
+            measures = Player(events).play()
+        except (TraceError, UnicodeDecodeError) as error:
+            raise CommandError(f"{options.trace}: {error}", EXIT_BAD_INPUT) from error
+        broken = []
+        if options.expect is not None:
+            try:
+                with _open(options.expect) as file:
+                    expected = read_outcomes(file.read())
+            except (TraceError, UnicodeDecodeError) as error:
+                message = f"{options.expect}: {error}"
+                raise CommandError(message, EXIT_BAD_INPUT) from error
+            broken = broken_outcomes(expected, measures, events)
+        _print(measures, broken, options.json)
+        return EXIT_FAILED if broken else EXIT_OK
+
+
+def _open(path: Path):
+    try:
+        return path.open(encoding="utf-8")
+    except OSError as error:
+        message = f"{path}: can't be read ({error.strerror}): name a readable file"
+        raise CommandError(message, EXIT_BAD_INPUT) from error
+
+
+def _print(measures: Measures, broken: list[Broken], as_json: bool) -> None:
+    found = measures.as_json()
+    if as_json:
+        found["broken"] = [str(outcome) for outcome in broken]
+        print(json.dumps(found, indent=1))
+        return
+    print(f"instance-hours    {found['instance_hours']}")
+    for upstream, after_s in found["detection_s"].items():
+        print(f"detection         {upstream}: {_seconds(after_s)}")
+    print(f"false ejections   {found['false_ejections']}")
+    for ejection in measures.false_ejections:
+        where = f"line {ejection.line} at {ejection.at_s:.3f} s"
+        print(f"                  {ejection.upstream}, {where}: {ejection.reason}")
+    for rank, share in found["service_level"].items():
+        print(f"service level     {rank}: {share:.2%}")
+    for rank, share in found["flood_level"].items():
+        print(f"level in a flood  {rank}: {share:.2%}")
+    for outcome in broken:
+        print(f"DID NOT HOLD      {outcome}")
+
+
+def _seconds(after_s: float | None) -> str:
+    return "never" if after_s is None else f"{after_s:.3f} s"
--- /dev/null
+++ b/chicorychute/replay/measures.py
@@ -0,0 +1,79 @@
+"""The four measures of a replay, each with the events that made it."""
+
+import attrs
+
+SECONDS_PER_HOUR = 3600.0
+
+
+@attrs.frozen
+class Detected:
+    """A sick upstream and when it left rotation.
+
+    Attributes
+    ----------
+    after_s : float or None
+        Time from the statement that it is sick, None if it stayed in.
+    """
+
+    upstream: str
+    sick_at_s: float
+    after_s: float | None
+
+
+@attrs.frozen
+class FalseEjection:
+    """A healthy upstream that left rotation after the event of a line."""
+
+    upstream: str
+    at_s: float
+    line: int
+    reason: str
+
+
+@attrs.define
+class ServiceLevel:
+    """Requests of one rank, and the lines of those not answered in their target."""
+
+    requests: int = 0
+    missed_lines: list[int] = attrs.field(factory=list)
+
+    def add(self, line: int, met: bool) -> None:
+        """Count one request."""
+        self.requests += 1
+        if not met:
+            self.missed_lines.append(line)
+
+    @property
+    def share(self) -> float:
+        """Share answered in their target, 1 where there was none."""
+        if not self.requests:
+            return 1.0
+        return 1 - len(self.missed_lines) / self.requests
+
+
+@attrs.define
+class Measures:
+    """What a replay showed."""
+
+    instance_hours: float = 0.0
+    detected: list[Detected] = attrs.field(factory=list)
+    false_ejections: list[FalseEjection] = attrs.field(factory=list)
+    level_by_rank: dict[str, ServiceLevel] = attrs.field(factory=dict)
+    flood_level_by_rank: dict[str, ServiceLevel] = attrs.field(factory=dict)
+
+    def as_json(self) -> dict:
+        """Return the measures as JSON values."""
+        return {
+            "instance_hours": round(self.instance_hours, 4),
+            "detection_s": {
+                d.upstream: None if d.after_s is None else round(d.after_s, 3)
+                for d in self.detected
+            },
+            "false_ejections": len(self.false_ejections),
+            "service_level": _shares(self.level_by_rank),
+            "flood_level": _shares(self.flood_level_by_rank),
+        }
+
+
+def _shares(level_by_rank: dict[str, ServiceLevel]) -> dict[str, float]:
+    return {rank: round(level.share, 4) for rank, level in level_by_rank.items()}
--- /dev/null
+++ b/chicorychute/replay/player.py
@@ -0,0 +1,353 @@
+"""Feeds a trace to today's queue, judge and floor on a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+from result import Err
+
+from chicorychute.admission.queue import (
+    Decision,
+    Granted,
+    RankPolicy,
+    Refused,
+    Ticket,
+    UpstreamQueue,
+)
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import UpstreamDigest, Verdict
+from chicorychute.health.evidence import Observation, Result
+from chicorychute.health.judge import Attempt, UpstreamJudge
+from chicorychute.replay.exceptions import TraceError
+from chicorychute.replay.measures import (
+    SECONDS_PER_HOUR,
+    Detected,
+    FalseEjection,
+    Measures,
+    ServiceLevel,
+)
+from chicorychute.replay.trace import (
+    EndEvent,
+    FloodEvent,
+    PeersEvent,
+    RequestEvent,
+    SickEvent,
+    Start,
+    TableEvent,
+    TracedEvent,
+    VerdictEvent,
+)
+from chicorychute.routing.budget import RetryBudget
+from chicorychute.routing.candidates import Candidate, Distance, eligible
+from chicorychute.routing.choice import choose
+from chicorychute.table.parse import parse_table
+from chicorychute.table.rows import Repeat, Row, Table
+
+TICK_S = 0.05
+GOSSIP_S = 0.5
+SETTLE_S = 1.0  # after the last event, for what still runs
+UNKNOWN_SERVICE_MS = 20.0  # of a request that never ran when it was recorded
+SEED = 1
+RETRIED = frozenset((Result.FAILED, Result.SHED))
+
+
+@attrs.define(eq=False)
+class _Upstream:
+    id: str
+    service: str
+    queue: UpstreamQueue
+    judge: UpstreamJudge
+    verdict: Verdict = Verdict.HEALTHY
+    sick: bool = False
+
+
+@attrs.frozen(eq=False)
+class _Request:
+    traced: TracedEvent
+    event: RequestEvent
+    moved: bool
+    row: Row
+    flooded: bool
+    failed_at: str = ""
+
+    def result(self) -> Result:
+        """Return the result at the upstream that runs it."""
+        return Result.OK if self.moved else self.event.result
+
+    def service_s(self) -> float:
+        """Return the time at the upstream that runs it."""
+        recorded_ms = self.event.service_ms
+        if self.moved and self.event.healthy_ms >= 0:
+            recorded_ms = self.event.healthy_ms
+        return (recorded_ms if recorded_ms >= 0 else UNKNOWN_SERVICE_MS) / 1000
+
+
+class Player:
+    """One replay; the same events give the same measures each time.
+
+    Parameters
+    ----------
+    events : list of TracedEvent
+        Events as `read_trace` gave them.
+    """
+
+    def __init__(self, events: list[TracedEvent]):
+        self._events = sorted(events, key=lambda traced: (traced.at_s, traced.line))
+        self._clock = ManualClock()
+        self._rng = random.Random(SEED)
+        self._agenda: list[tuple[float, int, Callable, tuple]] = []
+        self._order = itertools.count()
+        self._upstream_by_id: dict[str, _Upstream] = {}
+        self._peers_by_service: dict[str, tuple[UpstreamDigest, ...]] = {}
+        self._told_by_service: dict[str, list[UpstreamDigest]] = {}
+        self._request_by_ticket: dict[Ticket, tuple[_Upstream, _Request]] = {}
+        self._table: Table | None = None
+        self._whole = False
+        self._flooding: set[str] = set()
+        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._line = 1
+        self._measures = Measures()
+
+    def play(self) -> Measures:
+        """Replay all events and return the measures.
+
+        Raises
+        ------
+        TraceError
+            If an event names what the trace does not hold.
+        """
+        for traced in self._events:
+            self._at(traced.at_s, self._take, traced)
+        end_s = self._events[-1].at_s + SETTLE_S
+        self._at(TICK_S, self._tick)
+        self._at(GOSSIP_S, self._gossip)
+        while self._agenda and self._agenda[0][0] <= end_s:
+            at_s, _, action, arguments = heapq.heappop(self._agenda)
+            self._clock.advance(max(at_s - self._clock.monotonic(), 0.0))
+            action(*arguments)
+        self._finish(end_s)
+        return self._measures
+
+    def _at(self, at_s: float, action: Callable, *arguments) -> None:
+        heapq.heappush(self._agenda, (at_s, next(self._order), action, arguments))
+
+    def _finish(self, end_s: float) -> None:
+        for upstream, request in self._request_by_ticket.values():
+            self._count(upstream, request, met=False)
+        hours = end_s * len(self._upstream_by_id) / SECONDS_PER_HOUR
+        self._measures.instance_hours = hours
+
+    def _take(self, traced: TracedEvent) -> None:
+        self._line = traced.line
+        match traced.event:
+            case Start(services, whole):
+                self._whole = whole
+                for name, service in services:
+                    self._upstream_by_id[name] = _Upstream(
+                        name,
+                        service,
+                        UpstreamQueue(0, (), self._clock),
+                        UpstreamJudge(self._clock),
+                    )
+            case TableEvent(text):
+                self._apply(traced.line, text)
+            case RequestEvent() as event:
+                self._arrive(traced, event)
+            case PeersEvent(service, digests):
+                self._peers_by_service[service] = digests
+            case SickEvent(name, sick):
+                self._mark(self._upstream(traced.line, name), sick)
+            case FloodEvent(rank, flooding):
+                change = self._flooding.add if flooding else self._flooding.discard
+                change(rank)
+            case VerdictEvent() | EndEvent():
+                pass
+
+    def _apply(self, line: int, text: str) -> None:
+        parsed = parse_table(1, text)
+        if isinstance(parsed, Err):
+            problem = f"the table has faults ({parsed.err_value[0]})"
+            raise TraceError(line, problem, "correct the cells and the line")
+        self._table = parsed.ok_value
+        for upstream in self._upstream_by_id.values():
+            rows = self._table.by_service.get(upstream.service, ())
+            policies = tuple(RankPolicy(r.rank, r.priority, r.share) for r in rows)
+            slots = max((row.slots for row in rows), default=0)
+            upstream.queue.configure(slots, policies)
+            upstream.judge.sensitivity = max(
+                (row.sensitivity for row in rows), default=1.0
+            )
+
+    def _mark(self, upstream: _Upstream, sick: bool) -> None:
+        upstream.sick = sick
+        if not sick:
+            return
+        now_s = self._clock.monotonic()
+        out = upstream.verdict is Verdict.SICK
+        after_s = 0.0 if out else None
+        self._measures.detected.append(Detected(upstream.id, now_s, after_s))
+
+    def _upstream(self, line: int, name: str) -> _Upstream:
+        upstream = self._upstream_by_id.get(name)
+        if upstream is None:
+            problem = f"the trace has no upstream {name!r}"
+            raise TraceError(line, problem, "name it in the first line")
+        return upstream
+
+    def _row(self, traced: TracedEvent, service: str, rank: str) -> Row:
+        row = self._table.by_rank.get((service, rank)) if self._table else None
+        if row is None:
+            problem = f"no table before it has a row {service}, {rank}"
+            raise TraceError(traced.line, problem, "put a table with the row first")
+        return row
+
+    def _arrive(self, traced: TracedEvent, event: RequestEvent) -> None:
+        bound = self._upstream(traced.line, event.upstream)
+        row = self._row(traced, bound.service, event.rank)
+        budget = self._budget_by_service.setdefault(bound.service, RetryBudget())
+        budget.deposit(row.retry_share)
+        request = _Request(traced, event, False, row, bool(self._flooding))
+        self._send(bound, request)
+
+    def _send(self, bound: _Upstream, request: _Request) -> None:
+        upstream = self._route(bound, request)
+        if upstream is None:
+            self._count(bound, request, met=False)
+            return
+        request = attrs.evolve(request, moved=upstream is not bound)
+        deadline_s = request.traced.at_s + request.event.deadline_ms / 1000
+        ticket = Ticket(request.event.rank, deadline_s)
+        self._request_by_ticket[ticket] = (upstream, request)
+        self._deliver([upstream.queue.submit(ticket)])
+
+    def _route(self, bound: _Upstream, request: _Request) -> _Upstream | None:
+        """Return the upstream of the trace, or another where it is out."""
+        if not self._whole:
+            return bound
+        row = request.row
+        draw = self._rng.random() if row.repeat is Repeat.IDEMPOTENT else 1.0
+        candidates = [
+            Candidate(digest.upstream, digest, Distance.ZONE)
+            for digest in self._told(bound.service)
+        ]
+        tried = frozenset((request.failed_at,))
+        kept = eligible(candidates, row.floor, draw)
+        left = [c.digest.upstream for c in kept if c.digest.upstream not in tried]
+        if bound.id in left:
+            return bound
+        choice = choose(kept, {}, tried, self._rng)
+        if choice is None:
+            return None
+        return self._upstream_by_id[choice.candidate.digest.upstream]
+
+    def _may_retry(self, request: _Request, result: Result) -> bool:
+        if request.failed_at or not self._whole or result not in RETRIED:
+            return False
+        if request.row.repeat is not Repeat.IDEMPOTENT:
+            return False
+        return self._budget_by_service[request.row.service].withdraw()
+
+    def _deliver(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            match decision:
+                case Granted(ticket):
+                    self._start(ticket)
+                case Refused(ticket, _):
+                    upstream, request = self._request_by_ticket.pop(ticket)
+                    self._count(upstream, request, met=False)
+
+    def _start(self, ticket: Ticket) -> None:
+        upstream, request = self._request_by_ticket[ticket]
+        left_s = ticket.deadline_s - self._clock.monotonic()
+        latency_s = request.service_s()
+        result = request.result()
+        if latency_s > left_s:
+            result, latency_s = Result.TIMED_OUT, left_s
+        attempt = upstream.judge.begin(ticket.rank)
+        size = request.event.bytes
+        observation = Observation(ticket.rank, result, latency_s, size)
+        end_s = self._clock.monotonic() + latency_s
+        self._at(end_s, self._end, ticket, observation, attempt)
+
+    def _end(self, ticket: Ticket, observation: Observation, attempt: Attempt) -> None:
+        upstream, request = self._request_by_ticket.pop(ticket)
+        upstream.judge.observe(observation, attempt)
+        self._note(upstream)
+        if self._may_retry(request, observation.result):
+            self._send(upstream, attrs.evolve(request, failed_at=upstream.id))
+            self._deliver(upstream.queue.release())
+            return
+        took_s = self._clock.monotonic() - request.traced.at_s
+        answered = observation.result is Result.OK and observation.bytes != 0
+        met = answered and took_s * 1000 <= request.row.target_ms
+        self._count(upstream, request, met)
+        self._deliver(upstream.queue.release())
+
+    def _count(self, upstream: _Upstream, request: _Request, met: bool) -> None:
+        rank = request.event.rank
+        levels = [self._measures.level_by_rank]
+        if request.flooded:
+            levels.append(self._measures.flood_level_by_rank)
+        for level_by_rank in levels:
+            level = level_by_rank.setdefault(rank, ServiceLevel())
+            level.add(request.traced.line, met)
+
+    def _tick(self) -> None:
+        self._at(self._clock.monotonic() + TICK_S, self._tick)
+        for upstream in self._upstream_by_id.values():
+            upstream.judge.tick()
+            self._note(upstream)
+            self._deliver(upstream.queue.advance())
+
+    def _gossip(self) -> None:
+        self._at(self._clock.monotonic() + GOSSIP_S, self._gossip)
+        services = {upstream.service for upstream in self._upstream_by_id.values()}
+        for service in sorted(services):
+            own = self._told_by_service[service] = self._digests(service)
+            elsewhere = self._peers_by_service.get(service, ())
+            for digest in own:
+                others = [d for d in own if d.upstream != digest.upstream]
+                judge = self._upstream_by_id[digest.upstream].judge
+                judge.take_peers([*others, *elsewhere])
+
+    def _told(self, service: str) -> list[UpstreamDigest]:
+        """Return the digests as the last gossip round spread them."""
+        if service not in self._told_by_service:
+            self._told_by_service[service] = self._digests(service)
+        return self._told_by_service[service]
+
+    def _digests(self, service: str) -> list[UpstreamDigest]:
+        return [
+            UpstreamDigest(
+                upstream.id,
+                service,
+                upstream.judge.verdict(),
+                upstream.queue.slots,
+                upstream.queue.in_flight,
+                upstream.queue.queued,
+                upstream.judge.latency_s * 1000,
+                upstream.judge.failure_share,
+                upstream.judge.weight,
+                upstream.judge.suspicion,
+                upstream.judge.rank_digests(),
+            )
+            for upstream in self._upstream_by_id.values()
+            if upstream.service == service
+        ]
+
+    def _note(self, upstream: _Upstream) -> None:
+        before, upstream.verdict = upstream.verdict, upstream.judge.verdict()
+        if upstream.verdict is not Verdict.SICK or before is Verdict.SICK:
+            return
+        now_s = self._clock.monotonic()
+        if not upstream.sick:
+            self._measures.false_ejections.append(
+                FalseEjection(upstream.id, now_s, self._line, upstream.judge.reason)
+            )
+            return
+        for index, detected in enumerate(self._measures.detected):
+            if detected.upstream == upstream.id and detected.after_s is None:
+                after_s = now_s - detected.sick_at_s
+                self._measures.detected[index] = attrs.evolve(detected, after_s=after_s)
--- /dev/null
+++ b/chicorychute/replay/trace.py
@@ -0,0 +1,253 @@
+"""Events of a trace and their form as JSON lines.
+
+The first line names the version. Each other line is an object with the time
+``t`` in seconds, the kind ``e`` and the fields of the event. No line holds a
+body, a header, a path of a request, a team or a key.
+"""
+
+import json
+import math
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+
+from chicorychute.core.messages import RankDigest, UpstreamDigest, Verdict
+from chicorychute.health.evidence import Result
+from chicorychute.replay.exceptions import TraceError
+
+TRACE_VERSION = 1
+MAX_TRACE_S = 7 * 86_400.0  # times beyond it are damage
+REMEDY_DAMAGED = "record the trace again, or remove the damaged line"
+REMEDY_VERSION = f"record it again with a release that writes version {TRACE_VERSION}"
+
+
+@attrs.frozen
+class Start:
+    """First event.
+
+    Attributes
+    ----------
+    services : tuple of (str, str)
+        Upstream and service, for each upstream of the trace.
+    whole : bool
+        Whether the trace holds all upstreams of the services, so that a replay
+        may send a request to another one.
+    """
+
+    services: tuple[tuple[str, str], ...]
+    whole: bool
+
+
+@attrs.frozen
+class TableEvent:
+    """A table came into force."""
+
+    text: str
+
+
+@attrs.frozen
+class RequestEvent:
+    """A request that came to a gate at the time of the event.
+
+    Attributes
+    ----------
+    service_ms : float
+        Time at the upstream, -1 where it never ran.
+    healthy_ms : float
+        Time at a healthy upstream where a written trace knows it, else -1.
+    """
+
+    upstream: str
+    rank: str
+    deadline_ms: float
+    service_ms: float
+    result: Result
+    bytes: int
+    healthy_ms: float = -1.0
+
+
+@attrs.frozen
+class PeersEvent:
+    """Digests of a service's upstreams elsewhere, as the gate heard them."""
+
+    service: str
+    digests: tuple[UpstreamDigest, ...]
+
+
+@attrs.frozen
+class VerdictEvent:
+    """The daemon that was recorded changed its verdict."""
+
+    upstream: str
+    verdict: Verdict
+    reason: str
+
+
+@attrs.frozen
+class SickEvent:
+    """States that an upstream is sick from now on, or well again."""
+
+    upstream: str
+    sick: bool
+
+
+@attrs.frozen
+class FloodEvent:
+    """States that a rank floods from now on, or no longer."""
+
+    rank: str
+    flooding: bool
+
+
+@attrs.frozen
+class EndEvent:
+    """The recorder stopped, for its bound or with the daemon."""
+
+    reason: str
+
+
+Event = (
+    Start
+    | TableEvent
+    | RequestEvent
+    | PeersEvent
+    | VerdictEvent
+    | SickEvent
+    | FloodEvent
+    | EndEvent
+)
+
+
+@attrs.frozen
+class TracedEvent:
+    """One event with its time and its line."""
+
+    line: int
+    at_s: float
+    event: Event
+
+
+CLASS_BY_KIND: dict[str, type] = {
+    "start": Start,
+    "table": TableEvent,
+    "request": RequestEvent,
+    "peers": PeersEvent,
+    "verdict": VerdictEvent,
+    "sick": SickEvent,
+    "flood": FloodEvent,
+    "end": EndEvent,
+}
+_KIND_BY_CLASS = {cls: kind for kind, cls in CLASS_BY_KIND.items()}
+
+
+def to_line(at_s: float, event: Event) -> str:
+    """Return the line of an event, without its line feed."""
+    fields: dict[str, Any] = {"t": round(at_s, 4), "e": _KIND_BY_CLASS[type(event)]}
+    match event:
+        case Start(services, whole):
+            fields |= {"v": TRACE_VERSION, "services": services, "whole": whole}
+        case PeersEvent(service, digests):
+            packed = [_pack_digest(digest) for digest in digests]
+            fields |= {"service": service, "digests": packed}
+        case _:
+            for field in attrs.fields(type(event)):
+                value = getattr(event, field.name)
+                fields[field.name] = _plain(value)
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def read_trace(lines: Iterable[str]) -> Iterator[TracedEvent]:
+    """Read the events of a trace in the order of its lines.
+
+    Raises
+    ------
+    TraceError
+        If a line is damaged, or the trace is of another version.
+    """
+    line = 0
+    for line, text in enumerate(lines, start=1):
+        try:
+            fields = json.loads(text)
+            kind = fields.pop("e")
+            at_s = _time(fields.pop("t"))
+            if not 0 <= at_s <= MAX_TRACE_S:
+                raise ValueError(at_s)
+            if line == 1:
+                _check_version(kind, fields.pop("v", None))
+            event = _unpack(kind, fields)
+        except TraceError:
+            raise
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            problem = f"is not an event of a trace ({error.__class__.__name__})"
+            raise TraceError(line, problem, REMEDY_DAMAGED) from error
+        yield TracedEvent(line, at_s, event)
+    if not line:
+        raise TraceError(1, "the trace is empty", "record it again")
+
+
+def _check_version(kind: str, version: Any) -> None:
+    if kind != "start" or version is None:
+        problem = "the first line is not the start of a trace"
+        raise TraceError(1, problem, "name a file that `run --record` wrote")
+    if version != TRACE_VERSION:
+        problem = f"version {version} of the trace can't be replayed"
+        raise TraceError(1, problem, REMEDY_VERSION)
+
+
+def _unpack(kind: str, fields: dict[str, Any]) -> Event:
+    cls = CLASS_BY_KIND[kind]
+    if cls is Start:
+        pairs = tuple((str(name), str(service)) for name, service in fields["services"])
+        return Start(pairs, bool(fields["whole"]))
+    if cls is PeersEvent:
+        digests = tuple(_unpack_digest(values) for values in fields["digests"])
+        return PeersEvent(str(fields["service"]), digests)
+    return cls(**{name: _typed(cls, name, value) for name, value in fields.items()})
+
+
+def _typed(cls: type, name: str, value: Any) -> Any:
+    kind = attrs.fields_dict(cls)[name].type
+    if kind is float:
+        return _time(value)
+    if kind in (Result, Verdict):
+        return kind(value)
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise TypeError(name)
+    return value
+
+
+def _time(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(value)
+    if not math.isfinite(value):
+        raise ValueError(value)
+    return float(value)
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, float):
+        return round(value, 3)
+    return value.value if isinstance(value, (Result, Verdict)) else value
+
+
+def _pack_digest(digest: UpstreamDigest) -> list[Any]:
+    ranks = [[_plain(v) for v in attrs.astuple(rank)] for rank in digest.ranks]
+    values = attrs.astuple(digest, recurse=False)
+    return [*(_plain(value) for value in values[:-1]), ranks]
+
+
+def _unpack_digest(values: list[Any]) -> UpstreamDigest:
+    *plain, ranks = values
+    names = [field.name for field in attrs.fields(UpstreamDigest)]
+    typed = [
+        _typed(UpstreamDigest, name, value)
+        for name, value in zip(names[:-1], plain, strict=True)
+    ]
+    return UpstreamDigest(*typed, tuple(_unpack_rank(rank) for rank in ranks))
+
+
+def _unpack_rank(values: list[Any]) -> RankDigest:
+    names = [field.name for field in attrs.fields(RankDigest)]
+    pairs = zip(names, values, strict=True)
+    return RankDigest(*(_typed(RankDigest, name, value) for name, value in pairs))
