--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 from collections.abc import Callable
+from pathlib import Path
 
 import structlog
 
@@ -43,6 +44,7 @@
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.recorder import NoRecorder, Recorder
 from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
 from chicorychute.services.tables import TableService
@@ -62,11 +64,27 @@
 
 
 class Daemon:
-    """One daemon, built from its settings and started by `run`."""
+    """One daemon, built from its settings and started by `run`.
 
-    def __init__(self, settings: Settings):
+    Parameters
+    ----------
+    record : Path, optional
+        File that takes the trace of the gate's decisions.
+    record_bytes : int
+        Length at which the trace ends.
+    """
+
+    def __init__(
+        self, settings: Settings, record: Path | None = None, record_bytes: int = 0
+    ):
         self._settings = settings
         self._clock = SystemClock()
+        services = tuple((u.id, u.service) for u in settings.upstreams)
+        self._recorder = (
+            Recorder(record, services, self._clock, record_bytes)
+            if record is not None
+            else NoRecorder()
+        )
         self._rng = random.Random()
         self._stop_asked = threading.Event()
         self._build()
@@ -119,7 +137,11 @@
             self._on_listed_leaving,
         )
         self._gate = GateService(
-            self._settings.upstreams, clock, tracing, self._fleet.peer_digests
+            self._settings.upstreams,
+            clock,
+            tracing,
+            self._fleet.peer_digests,
+            self._recorder,
         )
         self._tables = TableService(
             TableVersions(clock),
@@ -218,6 +240,7 @@
             ticker.stop()
         self._operator.stop()
         self._hub.stop()
+        self._recorder.close()
         logger.info("daemon: stopped")
 
     def _get_hub(self) -> LinkHub:
--- a/chicorychute/replay/player.py
+++ b/chicorychute/replay/player.py
@@ -18,7 +18,7 @@
 )
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import UpstreamDigest, Verdict
-from chicorychute.health.evidence import Observation, Result
+from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.replay.exceptions import TraceError
 from chicorychute.replay.measures import (
@@ -74,7 +74,12 @@
 
     def result(self) -> Result:
         """Return the result at the upstream that runs it."""
-        return Result.OK if self.moved else self.event.result
+        known = not self.moved and self.event.service_ms >= 0
+        return self.event.result if known else Result.OK
+
+    def size(self) -> int:
+        """Return the length of the answer of the upstream that runs it."""
+        return BYTES_UNKNOWN if self.moved else self.event.bytes
 
     def service_s(self) -> float:
         """Return the time at the upstream that runs it."""
@@ -266,8 +271,7 @@
         if latency_s > left_s:
             result, latency_s = Result.TIMED_OUT, left_s
         attempt = upstream.judge.begin(ticket.rank)
-        size = request.event.bytes
-        observation = Observation(ticket.rank, result, latency_s, size)
+        observation = Observation(ticket.rank, result, latency_s, request.size())
         end_s = self._clock.monotonic() + latency_s
         self._at(end_s, self._end, ticket, observation, attempt)
 
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -24,6 +24,7 @@
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.services.recorder import NoRecorder
 from chicorychute.table.rows import Row, Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.upstream import (
@@ -63,10 +64,12 @@
         clock: Clock,
         tracing: Tracing,
         peer_digests: Callable[[str], list[UpstreamDigest]],
+        recorder: NoRecorder | None = None,
     ):
         self._clock = clock
         self._tracing = tracing
         self._peer_digests = peer_digests
+        self._recorder = recorder or NoRecorder()
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
         self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="gate")
@@ -82,6 +85,7 @@
 
     def apply(self, table: Table) -> None:
         """Take the cells of a new table."""
+        self._recorder.table(table.text)
         with self._lock:
             for upstream in self._upstream_by_id.values():
                 rows = table.by_service.get(upstream.settings.service, ())
@@ -130,8 +134,11 @@
         for upstream in self._upstream_by_id.values():
             with self._lock:
                 upstream.judge.tick()
+                verdict = upstream.judge.verdict()
                 decisions = upstream.queue.advance()
-            self._deliver(decisions)
+            id = upstream.settings.id
+            self._recorder.verdict(id, verdict, upstream.judge.reason)
+            self._deliver(id, decisions)
 
     def submit(self, upstream_id: str, ticket: Ticket, starter: Starter) -> None:
         """Ask for a slot; `starter` is called once with the decision, maybe later."""
@@ -139,11 +146,13 @@
         if upstream is None:
             starter(QueueRefused(ticket, Reason.NO_UPSTREAM))
             return
+        self._recorder.arrived(upstream_id, ticket.rank, ticket.deadline_s)
         with self._lock:
             decision = upstream.queue.submit(ticket)
             if isinstance(decision, Queued):
                 self._starter_by_ticket[ticket] = starter
                 return
+        self._record_refusal(upstream_id, decision)
         starter(decision)
 
     def cancel(self, upstream_id: str, ticket: Ticket) -> bool:
@@ -152,6 +161,8 @@
             cancelled = self._upstream_by_id[upstream_id].queue.cancel(ticket)
             if cancelled:
                 del self._starter_by_ticket[ticket]
+        if cancelled:
+            self._recorder.refused(upstream_id, ticket.rank, ticket.deadline_s)
         return cancelled
 
     def in_pool(self, run: Callable[[], None]) -> None:
@@ -168,7 +179,8 @@
         with self._lock:
             attempt = upstream.judge.begin(work.rank)
         if timeout_s <= 0:
-            self._finish(upstream, attempt, Observation(work.rank, Result.CANCELLED, 0))
+            unused = Observation(work.rank, Result.CANCELLED, 0.0)
+            self._finish(upstream, attempt, unused, deadline_s)
             return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         with self._tracing.span("upstream", work.traceparent) as traceparent:
             work = attrs.evolve(work, traceparent=traceparent)
@@ -178,7 +190,7 @@
                 latency_s = self._clock.monotonic() - started_s
                 result = _result_of_failure(failure)
                 observation = Observation(work.rank, result, latency_s)
-                self._finish(upstream, attempt, observation)
+                self._finish(upstream, attempt, observation, deadline_s)
                 return Refused(failure.outcome, failure.reason, failure.detail)
         with self._lock:
             upstream.judge.answered(attempt)
@@ -196,6 +208,7 @@
                     latency_s,
                     BYTES_UNKNOWN if may_be_empty else size,
                 ),
+                deadline_s,
             ),
         )
         return Answer(answer.status, answer.headers, answer.length, body, upstream_id)
@@ -227,20 +240,33 @@
 
     def _compare_with_peers(self) -> None:
         for upstream in self._upstream_by_id.values():
-            peers = self._peer_digests(upstream.settings.service)
+            service = upstream.settings.service
+            peers = self._peer_digests(service)
             with self._lock:
                 upstream.judge.take_peers(peers)
+            self._recorder.peers(service, peers)
 
     def _finish(
-        self, upstream: _Upstream, attempt: Attempt, observation: Observation
+        self,
+        upstream: _Upstream,
+        attempt: Attempt,
+        observation: Observation,
+        deadline_s: float,
     ) -> None:
         with self._lock:
             upstream.judge.observe(observation, attempt)
             decisions = upstream.queue.release()
-        self._deliver(decisions)
+        self._recorder.ended(upstream.settings.id, deadline_s, observation)
+        self._deliver(upstream.settings.id, decisions)
+
+    def _record_refusal(self, upstream_id: str, decision: Decision) -> None:
+        if isinstance(decision, QueueRefused):
+            ticket = decision.ticket
+            self._recorder.refused(upstream_id, ticket.rank, ticket.deadline_s)
 
-    def _deliver(self, decisions: list[Decision]) -> None:
+    def _deliver(self, upstream_id: str, decisions: list[Decision]) -> None:
         for decision in decisions:
+            self._record_refusal(upstream_id, decision)
             with self._lock:
                 starter = self._starter_by_ticket.pop(decision.ticket)
             starter(decision)
--- /dev/null
+++ b/tests/replay/test_recorder.py
@@ -0,0 +1,52 @@
+"""What is recorded can be replayed, stays in its bound and holds no secret."""
+
+import pytest
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import Verdict
+from chicorychute.health.evidence import Observation, Result
+from chicorychute.replay.player import Player
+from chicorychute.replay.trace import EndEvent, RequestEvent, read_trace
+from chicorychute.services.recorder import Recorder, RecordError
+from tests.replay.test_bad_input import TABLE
+
+BIG = 1 << 20
+
+
+def record(path, clock, max_bytes, requests):
+    recorder = Recorder(path, (("u0", "s"),), clock, max_bytes)
+    recorder.table(TABLE)
+    for index in range(requests):
+        deadline_s = clock.monotonic() + 1 + index * 1e-6
+        recorder.arrived("u0", "read", deadline_s)
+        clock.advance(0.01)
+        if index % 10 == 9:
+            recorder.refused("u0", "read", deadline_s)
+        else:
+            seen = Observation("read", Result.OK, 0.01, 7)
+            recorder.ended("u0", deadline_s, seen)
+    recorder.verdict("u0", Verdict.HEALTHY, "")
+    recorder.close()
+    return list(read_trace(path.read_text("utf-8").splitlines()))
+
+
+def test_recorded_requests_are_replayed(tmp_path):
+    events = record(tmp_path / "trace", ManualClock(), BIG, 100)
+    requests = [e.event for e in events if isinstance(e.event, RequestEvent)]
+    assert len(requests) == 100
+    assert sum(request.service_ms < 0 for request in requests) == 10
+    level = Player(events).play().level_by_rank["read"]
+    assert (level.requests, level.share) == (100, 1.0)
+
+
+def test_full_trace_ends_with_its_reason_and_can_be_replayed(tmp_path):
+    path = tmp_path / "trace"
+    events = record(path, ManualClock(), 2000, 1000)
+    assert path.stat().st_size <= 2000
+    assert events[-1].event == EndEvent("full")
+    assert Player(events).play().level_by_rank["read"].requests > 0
+
+
+def test_file_that_cannot_be_written_is_named(tmp_path):
+    with pytest.raises(RecordError, match="writable"):
+        record(tmp_path / "none" / "trace", ManualClock(), BIG, 1)
