Run the standing measurements with chicorychute bench

Cause: no one command gave the figures of detection beside a baseline. Ruled out: the repository's bench folder alone (the program can't import it).

--- /dev/null
+++ b/chicorychute/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Standing measurements of the decisions."""
--- /dev/null
+++ b/chicorychute/bench/cost.py
@@ -0,0 +1,127 @@
+"""Processor time and memory of the decisions."""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from chicorychute.bench.figures import NOISY, Better, Figure
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import (
+    MemberRecord,
+    MemberStatus,
+    RankDigest,
+    UpstreamDigest,
+    Verdict,
+)
+from chicorychute.core.system_clock import SystemClock
+from chicorychute.health.evidence import Observation, Result
+from chicorychute.health.judge import UpstreamJudge
+from chicorychute.routing.candidates import Candidate, Distance, eligible
+from chicorychute.routing.choice import choose
+from chicorychute.table.parse import parse_table
+
+DECISIONS = 20_000
+ITEMS = 500
+UPSTREAMS = 12
+RANKS = ("first", "second", "third")
+TABLE_HEADER = (
+    "service,rank,routes,priority,share,target_ms,deadline_ms,repeat,retry_share,"
+    "slots,floor,sensitivity,team_rate,cross_region_kbps"
+)
+
+
+def measure_rates() -> list[Figure]:
+    """Return decisions a second of the judge and of the choice of a gate."""
+    judge = UpstreamJudge(SystemClock())
+    judge.take_peers([_digest(index) for index in range(UPSTREAMS)])
+    rng = random.Random(1)
+    observations = [
+        Observation(rng.choice(RANKS), Result.OK, rng.lognormvariate(-4, 1), 100)
+        for _ in range(1000)
+    ]
+    candidates = [
+        Candidate(str(index), _digest(index), Distance.ZONE)
+        for index in range(UPSTREAMS)
+    ]
+
+    def observe(index: int) -> None:
+        observation = observations[index % len(observations)]
+        judge.observe(observation, judge.begin(observation.rank))
+
+    def route(index: int) -> None:
+        choose(eligible(candidates, 0.5, rng.random()), {}, frozenset(), rng)
+
+    return [
+        _rate("judge", observe),
+        _rate(f"floor and choice of {UPSTREAMS}", route),
+    ]
+
+
+def measure_memory() -> list[Figure]:
+    """Return bytes for each judge, instance record and row of the table."""
+    return [
+        _bytes("judge of 3 ranks", _judge),
+        _bytes("record of an instance with 1 upstream", _record),
+        _bytes("row of the table", _rows, ITEMS),
+    ]
+
+
+def _rate(name: str, decide: Callable[[int], None]) -> Figure:
+    start_s = time.perf_counter()
+    for index in range(DECISIONS):
+        decide(index)
+    rate = DECISIONS / (time.perf_counter() - start_s)
+    return Figure(f"rate | {name}", rate, "per second", Better.HIGHER, NOISY)
+
+
+def _bytes(name: str, make: Callable[[int], object], items: int = 1) -> Figure:
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = [make(index) for index in range(ITEMS if items == 1 else 1)]
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    count = len(kept) * items
+    return Figure(f"memory | {name}", (after - before) / count, "bytes", allowed=1.1)
+
+
+def _judge(index: int) -> UpstreamJudge:
+    clock = ManualClock()
+    judge = UpstreamJudge(clock)
+    for rank in RANKS:
+        for number in range(100):
+            judge.observe(Observation(rank, Result.OK, number / 1000, 100))
+    return judge
+
+
+def _digest(index: int) -> UpstreamDigest:
+    ranks = tuple(
+        RankDigest(rank, 100 + index, 15.0 + index, 50.0 + index, 0.01, 0.0, 0.0)
+        for rank in RANKS
+    )
+    name = f"upstream-{index}"
+    verdict = Verdict.HEALTHY
+    return UpstreamDigest(
+        name, "service", verdict, 4, 1, 0, 15.0 + index, 0.01, 1.0, 0.0, ranks
+    )
+
+
+def _record(index: int) -> MemberRecord:
+    return MemberRecord(
+        f"instance-{index}",
+        1_700_000_000_000 + index,
+        1000 + index,
+        MemberStatus.ALIVE,
+        f"10.0.{index // 256}.{index % 256}",
+        8081,
+        "zone",
+        "region",
+        1,
+        (_digest(index),),
+    )
+
+
+def _rows(index: int) -> object:
+    cells = "1,0.3,300,4000,idempotent,0.1,4,0.5,1,0,1000"
+    rows = [f"s{number},read,GET /s{number}/*,{cells}" for number in range(ITEMS)]
+    return parse_table(1, "\n".join([TABLE_HEADER, *rows])).ok_value
