--- /dev/null
+++ b/tests/health/test_processes.py
@@ -0,0 +1,36 @@
+"""A sick upstream leaves rotation on every daemon, as separate processes."""
+
+import pytest
+
+from standins.demo import make_table
+from standins.fleet import Fleet
+
+pytestmark = pytest.mark.processes
+
+PLACES = [("r1", "r1-a", "orders"), ("r1", "r1-b", "orders"), ("r2", "r2-a", "orders")]
+
+
+def verdict_seen_by(fleet, node, upstream):
+    status = fleet.status(node)
+    digests = [d for i in status["instances"] for d in i["upstreams"]]
+    return next(d["verdict"] for d in digests if d["upstream"] == upstream)
+
+
+def test_failing_upstream_leaves_rotation_while_callers_are_answered():
+    with Fleet(PLACES, make_table(5000)) as fleet:
+        sick, entry, _ = fleet.nodes
+        upstream = fleet.status(sick)
+        name = upstream["upstreams"][0]["upstream"]
+        fleet.set_faults(sick, fail_share=1.0)
+
+        def is_out():
+            fleet.http.request("GET", entry.edge_url + "/catalogue/1")
+            return verdict_seen_by(fleet, entry, name) == "sick"
+
+        fleet.wait_for(is_out, "the ejection of the failing upstream")
+        failed = fleet.counts(sick)["counts"]["failed"]
+        for index in range(30):
+            answer = fleet.http.request("GET", f"{entry.edge_url}/catalogue/{index}")
+            assert answer.status == 200
+        trials = fleet.counts(sick)["counts"]["failed"] - failed
+        assert trials < 10
