--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -5,6 +5,7 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 
 import structlog
 
@@ -45,6 +46,7 @@
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.recorder import NoRecorder, Recorder
 from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
 from chicorychute.services.tables import TableService
@@ -59,17 +61,34 @@
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
+PROBE_TICK_S = 0.1
 PLATFORM_TICK_S = 0.5
 
 logger = structlog.get_logger()
 
 
 class Daemon:
-    """One daemon, built from its settings and started by `run`."""
+    """One daemon, built from its settings and started by `run`.
 
-    def __init__(self, settings: Settings):
+    Parameters
+    ----------
+    record : Path, optional
+        File that takes the trace of the gate's decisions.
+    record_bytes : int
+        Length at which the trace ends.
+    """
+
+    def __init__(
+        self, settings: Settings, record: Path | None = None, record_bytes: int = 0
+    ):
         self._settings = settings
         self._clock = SystemClock()
+        services = tuple((u.id, u.service) for u in settings.upstreams)
+        self._recorder = (
+            Recorder(record, services, self._clock, record_bytes)
+            if record is not None
+            else NoRecorder()
+        )
         self._rng = random.Random()
         self._stop_asked = threading.Event()
         self._build()
@@ -125,7 +144,11 @@
             self._on_listed_leaving,
         )
         self._gate = GateService(
-            self._settings.upstreams, clock, tracing, self._fleet.peer_digests
+            self._settings.upstreams,
+            clock,
+            tracing,
+            self._fleet.peer_digests,
+            self._recorder,
         )
         self._tables = TableService(
             TableVersions(clock),
@@ -203,6 +226,7 @@
         gossip_s = get("gossip", "interval_s").total_seconds()
         tickers = [
             Ticker("gate", QUEUE_TICK_S, self._gate.tick),
+            Ticker("probe", PROBE_TICK_S, self._gate.probe),
             Ticker("gossip", gossip_s, self._gossip),
         ]
         if platform is not None:
@@ -243,6 +267,7 @@
             ticker.stop()
         self._operator.stop()
         self._hub.stop()
+        self._recorder.close()
         logger.info("daemon: stopped")
 
     def _get_hub(self) -> LinkHub:
