Ship as one file that runs alone

make dist packs the product and its pinned libraries, as bytecode, into one zip application with a first line for the interpreter; the two extension modules load from anonymous memory, so nothing is unpacked and no process started. backports.tarfile was not among the pins although a library needs it on Python 3.11; what libraries ask for and a daemon never imports is pinned in requirements/constraints.txt and not shipped.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready-dev
 
-.PHONY: demo test lint format check-format clean setup reference
+.PHONY: demo test lint format check-format clean setup reference dist
 
 setup: $(READY)
 
-$(READY): requirements/run.txt requirements/dev.txt
+$(READY): requirements/run.txt requirements/dev.txt requirements/constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -r requirements/dev.txt
 	touch $(READY)
@@ -29,6 +29,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+dist: setup
+	$(BIN)/python -m release.build dist/chicorychute
+
 reference: setup
 	$(BIN)/python -m chicorychute.conf.reference
 
--- /dev/null
+++ b/release/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one file in which the product ships."""
--- /dev/null
+++ b/release/bootstrap.py
@@ -0,0 +1,67 @@
+"""First module of the one file: loads extension modules from memory.
+
+An extension module of a zip application can't be loaded from the archive by the
+C library, so it is copied to an anonymous file in memory. Nothing is unpacked.
+"""
+
+import importlib.abc
+import importlib.machinery
+import importlib.util
+import json
+import os
+import sys
+import zipimport
+
+EXTENSIONS = "extensions.json"
+EXIT_FAILED = 1
+
+
+class MemoryExtensionFinder(importlib.abc.MetaPathFinder):
+    """Finds the extension modules of an archive.
+
+    Parameters
+    ----------
+    archive : zipimport.zipimporter
+        The one file.
+    path_by_name : dict
+        Path inside the archive by full name of the module.
+    """
+
+    def __init__(self, archive: zipimport.zipimporter, path_by_name: dict[str, str]):
+        self._archive = archive
+        self._path_by_name = path_by_name
+
+    def find_spec(self, fullname, path=None, target=None):
+        """Return the spec of an extension module, loaded from memory."""
+        inner = self._path_by_name.get(fullname)
+        if inner is None:
+            return None
+        data = self._archive.get_data(inner)
+        # The descriptor stays open: the C library knows a library by its path, and a
+        # second one under the same number would be taken for the first.
+        descriptor = os.memfd_create(fullname, os.MFD_CLOEXEC)
+        with open(descriptor, "wb", closefd=False) as file:
+            file.write(data)
+        location = f"/proc/self/fd/{descriptor}"
+        loader = importlib.machinery.ExtensionFileLoader(fullname, location)
+        return importlib.util.spec_from_file_location(fullname, location, loader=loader)
+
+
+def start(archive_path: str) -> int:
+    """Run the command line from the archive; returns its exit code."""
+    archive = zipimport.zipimporter(archive_path)
+    found = json.loads(archive.get_data(EXTENSIONS))
+    needed = found["python"]
+    running = list(sys.version_info[:2])
+    if running != needed:
+        wanted = ".".join(map(str, needed))
+        print(
+            f"chicorychute: this file runs on Python {wanted}: start it with"
+            f" python{wanted}, or build it for this one with make dist",
+            file=sys.stderr,
+        )
+        return EXIT_FAILED
+    sys.meta_path.insert(0, MemoryExtensionFinder(archive, found["modules"]))
+    from chicorychute.core.management import main
+
+    return main(sys.argv[1:])
