Go on accepting peers when file descriptors run out

Cause: without descriptors accept fails at once and the listener stays readable, so the reading thread spun; the soft limit of descriptors is lower than a daemon's connections may need. Change: accepting pauses for half a second, run takes the hard limit, and an error on a new connection no longer ends the reading thread. Rules of links and the body of an answer are modules of their own. The new tests were not run on the former code.

--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -1,6 +1,7 @@
 """Runs a daemon."""
 
 import argparse
+import resource
 import socket
 from pathlib import Path
 
@@ -38,6 +39,7 @@
             raise CommandError(lines, EXIT_BAD_INPUT)
         settings = found.ok_value
         _check_ports(settings)
+        raise_file_limit()
         from chicorychute.core.system_clock import SystemClock
         from chicorychute.daemon import Daemon
         from chicorychute.telemetry.logs import configure_logs
@@ -52,6 +54,12 @@
         return daemon.run()
 
 
+def raise_file_limit() -> None:
+    """Allow as many connections as the system lets the process have."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def _check_ports(settings: Settings) -> None:
     """Tell every port that can't be listened on, before anything starts.
 
--- /dev/null
+++ b/chicorychute/transport/answer_body.py
@@ -0,0 +1,50 @@
+"""Body of an answer on its way to the caller."""
+
+from collections.abc import Iterator
+
+from chicorychute.pipeline.values import AnswerBroken, Body
+
+
+class AnswerBody:
+    """Body of an answer that must be as long as its head says.
+
+    Parameters
+    ----------
+    length : int
+        Bytes that the head declares, -1 where any number is right.
+    """
+
+    def __init__(self, chunks: Body, length: int):
+        self._chunks = chunks
+        self._length = length
+        self._sent = 0
+        self._fetched: list[bytes] = []
+
+    def fetch(self) -> None:
+        """Read the first bytes, while the answer may still become a refusal."""
+        for chunk in self._chunks:
+            if chunk:
+                self._fetched.append(chunk)
+                return
+        self._check_end()
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        chunk = self._fetched.pop() if self._fetched else next(self._chunks, None)
+        if chunk is None:
+            self._check_end()
+            raise StopIteration
+        self._sent += len(chunk)
+        if 0 <= self._length < self._sent:
+            raise AnswerBroken("the answer is longer than its head says")
+        return chunk
+
+    def close(self) -> None:
+        """Give the rest up."""
+        self._chunks.close()
+
+    def _check_end(self) -> None:
+        if self._sent < self._length:
+            raise AnswerBroken("the answer is shorter than its head says")
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -2,7 +2,7 @@
 
 import http
 import re
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 import cherrypy
 import structlog
@@ -16,11 +16,11 @@
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
-    Body,
     Handler,
     Refused,
     Request,
 )
+from chicorychute.transport.answer_body import AnswerBody
 from chicorychute.transport.edge_request import (
     EdgeConnection,
     EdgeGateway,
@@ -181,7 +181,7 @@
         bodiless = (
             environ["REQUEST_METHOD"] == "HEAD" or answer.status in BODILESS_STATUSES
         )
-        body = _AnswerBody(answer.chunks, -1 if bodiless else answer.length)
+        body = AnswerBody(answer.chunks, -1 if bodiless else answer.length)
         try:
             body.fetch()
         except AnswerBroken as error:
@@ -202,51 +202,6 @@
         return body
 
 
-class _AnswerBody:
-    """Body of an answer that must be as long as its head says.
-
-    Parameters
-    ----------
-    length : int
-        Bytes that the head declares, -1 where any number is right.
-    """
-
-    def __init__(self, chunks: Body, length: int):
-        self._chunks = chunks
-        self._length = length
-        self._sent = 0
-        self._fetched: list[bytes] = []
-
-    def fetch(self) -> None:
-        """Read the first bytes, while the answer may still become a refusal."""
-        for chunk in self._chunks:
-            if chunk:
-                self._fetched.append(chunk)
-                return
-        self._check_end()
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        chunk = self._fetched.pop() if self._fetched else next(self._chunks, None)
-        if chunk is None:
-            self._check_end()
-            raise StopIteration
-        self._sent += len(chunk)
-        if 0 <= self._length < self._sent:
-            raise AnswerBroken("the answer is longer than its head says")
-        return chunk
-
-    def close(self) -> None:
-        """Give the rest up."""
-        self._chunks.close()
-
-    def _check_end(self) -> None:
-        if self._sent < self._length:
-            raise AnswerBroken("the answer is shorter than its head says")
-
-
 def _refusal_of(error: Exception, late: bool) -> Refused:
     if late or isinstance(error, TimeoutError):
         return Refused(Outcome.NOT_RUN, Reason.SLOW_REQUEST)
--- /dev/null
+++ b/chicorychute/transport/link_rules.py
@@ -0,0 +1,34 @@
+"""Which message may come on which side of a link, and when."""
+
+from chicorychute.core.messages import (
+    PROTOCOL_VERSION,
+    AnswerChunk,
+    AnswerHead,
+    BodyChunk,
+    Cancel,
+    Forward,
+    Hello,
+    Message,
+    Refusal,
+    Relay,
+)
+from chicorychute.transport.link import Link, LinkFault
+
+CALLS = (Forward, Relay, BodyChunk, Cancel)
+ANSWERS = (AnswerHead, AnswerChunk, Refusal)
+
+
+def misplaced(link: Link, message: Message) -> LinkFault | None:
+    """Return the fault of a message that may not come now, or None.
+
+    Hello comes first and once. Calls come to the side that accepted the link,
+    answers to the one that opened it.
+    """
+    if isinstance(message, Hello):
+        if link.peer is not None:
+            return LinkFault.SECOND_HELLO
+        return None if message.version == PROTOCOL_VERSION else LinkFault.VERSION
+    if link.peer is None:
+        return LinkFault.NO_HELLO
+    refused = CALLS if link.address is not None else ANSWERS
+    return LinkFault.WRONG_SIDE if isinstance(message, refused) else None
--- a/chicorychute/transport/links.py
+++ b/chicorychute/transport/links.py
@@ -21,18 +21,7 @@
 from websockets.uri import parse_uri
 
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import (
-    PROTOCOL_VERSION,
-    AnswerChunk,
-    AnswerHead,
-    BodyChunk,
-    Cancel,
-    Forward,
-    Hello,
-    Message,
-    Refusal,
-    Relay,
-)
+from chicorychute.core.messages import Hello, Message
 from chicorychute.telemetry.tally import Tally
 from chicorychute.transport.codec import CodecError, decode
 from chicorychute.transport.link import (
@@ -42,6 +31,7 @@
     LinkError,
     LinkFault,
 )
+from chicorychute.transport.link_rules import misplaced
 
 __all__ = ["Link", "LinkClock", "LinkError", "LinkFault", "LinkHub"]
 
@@ -50,8 +40,7 @@
 READ_BYTES = 1 << 18
 MAX_FRAME_BYTES = 8 << 20
 POLL_S = 0.2
-CALLS = (Forward, Relay, BodyChunk, Cancel)
-ANSWERS = (AnswerHead, AnswerChunk, Refusal)
+ACCEPT_PAUSE_S = 0.5  # without file descriptors, accepting again at once only spins
 
 logger = structlog.get_logger()
 
@@ -103,6 +92,7 @@
         self._link_by_address: dict[tuple[str, int], Link] = {}
         self._opening_by_address: dict[tuple[str, int], Future[Link]] = {}
         self._stopping = False
+        self._accepting_after_s: float | None = None
         self._thread = threading.Thread(target=self._run, name="links", daemon=True)
 
     @property
@@ -210,6 +200,7 @@
                 else:
                     self._serve(key.data, mask)
             self._drop_unnamed()
+            self._accept_again()
         with self._lock:
             links = list(self._links)
         for link in links:
@@ -220,9 +211,23 @@
     def _accept(self) -> None:
         try:
             sock, _ = self._server.accept()
-        except OSError:
+        except BlockingIOError:
+            return
+        except OSError as error:
+            logger.warning("link: a peer can't be accepted", error=str(error))
+            self._accepting_after_s = self._clock.monotonic() + ACCEPT_PAUSE_S
+            self._selector.unregister(self._server)
             return
-        self._add(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
+        try:
+            self._add(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
+        except OSError:
+            sock.close()
+
+    def _accept_again(self) -> None:
+        after_s = self._accepting_after_s
+        if after_s is not None and self._clock.monotonic() >= after_s:
+            self._accepting_after_s = None
+            self._selector.register(self._server, selectors.EVENT_READ, None)
 
     def _drop_unnamed(self) -> None:
         latest_s = self._clock.monotonic() - HELLO_TIMEOUT_S
@@ -282,7 +287,7 @@
         except CodecError:
             link.abort(LinkFault.MALFORMED)
             return
-        fault = _misplaced(link, message)
+        fault = misplaced(link, message)
         if fault is not None:
             link.abort(fault)
             return
@@ -328,17 +333,6 @@
             logger.exception("link: the end of a link could not be handled")
 
 
-def _misplaced(link: Link, message: Message) -> LinkFault | None:
-    if isinstance(message, Hello):
-        if link.peer is not None:
-            return LinkFault.SECOND_HELLO
-        return None if message.version == PROTOCOL_VERSION else LinkFault.VERSION
-    if link.peer is None:
-        return LinkFault.NO_HELLO
-    refused = CALLS if link.address is not None else ANSWERS
-    return LinkFault.WRONG_SIDE if isinstance(message, refused) else None
-
-
 def _prepare(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     timeout_ms = int(SEND_TIMEOUT_S * 1000)
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -1,9 +1,11 @@
 import json
+import resource
 import socket
 
 import pytest
 
 from chicorychute.core.management import command_names, main, text
+from chicorychute.core.management.commands.run import raise_file_limit
 from tests.conf.test_settings import GOOD
 from tests.table.test_parse import LOOKUP, line, table
 
@@ -201,3 +203,13 @@
     heading, first, _ = capsys.readouterr().out.splitlines()
     assert heading.split("\t")[0] == "service"
     assert first.split("\t")[2] == "POST /orders"
+
+
+def test_run_takes_every_file_descriptor_it_may_have():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 256), hard))
+    try:
+        raise_file_limit()
+        assert resource.getrlimit(resource.RLIMIT_NOFILE) == (hard, hard)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -356,3 +356,28 @@
             while silent.accept():
                 attempts += 1
     assert attempts < len(callers)
+
+
+def test_hub_without_file_descriptors_accepts_again_later(make_side, monkeypatch):
+    side = make_side("a")
+    refused = threading.Event()
+    listener = side.hub._server
+
+    class Listener:
+        def accept(self):
+            refused.set()
+            raise OSError("Too many open files")
+
+        def fileno(self):
+            return listener.fileno()
+
+        def close(self):
+            listener.close()
+
+    monkeypatch.setattr(side.hub, "_server", Listener())
+    sock = socket.create_connection(listener.getsockname())
+    assert refused.wait(WAIT_S)
+    monkeypatch.setattr(side.hub, "_server", listener)
+    sock.close()
+    RawPeer(listener.getsockname())
+    side.next(Hello)
