--- a/chicorychute/core/management/commands/status.py
+++ b/chicorychute/core/management/commands/status.py
@@ -3,7 +3,12 @@
 import argparse
 import json
 
-from chicorychute.core.management.base import EXIT_FAILED, EXIT_OK, BaseCommand
+from chicorychute.core.management.base import (
+    EXIT_FAILED,
+    EXIT_OK,
+    BaseCommand,
+    CommandError,
+)
 from chicorychute.core.management.operator import (
     add_operator_arguments,
     fetch,
@@ -40,7 +45,12 @@
 
     def handle(self, options: argparse.Namespace) -> int:
         """Print the status."""
-        status = json.loads(fetch(operator_url(options) + "/status").data)
+        url = operator_url(options)
+        try:
+            status = json.loads(fetch(url + "/status").data)
+        except ValueError as error:
+            problem = f"{url} gave no status ({error})"
+            raise CommandError(f"{problem}: name a daemon's operator URL") from error
         if options.json:
             print(json.dumps(status, indent=2))
         else:
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -148,6 +148,17 @@
         assert "does not answer" in shown
 
 
+def test_page_that_is_no_status_is_one_line(capsys, monkeypatch):
+    class Answer:
+        data = b"<html>"
+
+    module = "chicorychute.core.management.commands.status.fetch"
+    monkeypatch.setattr(module, lambda url: Answer)
+    assert main(["status"]) == 1
+    (shown,) = capsys.readouterr().err.splitlines()
+    assert "gave no status" in shown
+
+
 def test_status_fits_a_terminal_and_names_the_sick_first(daemon, capsys, monkeypatch):
     monkeypatch.setattr(text, "is_terminal", lambda: True)
     monkeypatch.setattr(text, "width", lambda: 80)
--- a/tests/processes/test_bad_input.py
+++ b/tests/processes/test_bad_input.py
@@ -37,6 +37,7 @@
 
 
 def runs(fleet):
+    fleet.http.clear()  # a connection that idled may be closed as it is used
     return sum(sum(fleet.counts(node)["runs_by_key"].values()) for node in fleet.nodes)
 
 
@@ -86,6 +87,27 @@
     assert runs(fleet) == 0
 
 
+@pytest.mark.parametrize("number", range(6))
+def test_head_and_chunked_bodies_pass_through_either_daemon(fleet, number):
+    url = f"{fleet.nodes[number % 2].edge_url}/catalogue/{number}"
+    got = fleet.http.request("GET", url)
+    head = fleet.http.request("HEAD", url)
+    assert (head.status, head.data) == (200, b"")
+    assert head.headers["Chute-Outcome"] == "ran"
+    after = fleet.http.request("GET", url)  # the other upstream may answer
+    assert after.json()["path"] == got.json()["path"] == f"/catalogue/{number}"
+    pieces = (piece for piece in (b"x" * 40_000, b"y" * 40_000))
+    home = got.headers["Chute-Home"]
+    order = fleet.http.request(
+        "POST",
+        f"{fleet.nodes[number % 2].edge_url}/orders",
+        body=pieces,
+        headers={"Idempotency-Key": f"{home}/chunked-{number}"},
+        chunked=True,
+    )
+    assert (order.status, order.headers["Chute-Outcome"]) == (200, "ran")
+
+
 def test_others_are_served_while_bad_input_floods_edge_and_links(fleet):
     stopped = threading.Event()
     inputs = [
