End the process at once when requests are cut at shutdown

Cause: the servers join every thread, and a thread that waits for an upstream that never answers held the process up past the drain limit. Ruled out: a timeout for the stop of the server; its pool joins without one. Change: where requests were cut the log says so and the process ends with code 1.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -1,5 +1,6 @@
 """Composition root: wires every part of one daemon."""
 
+import os
 import random
 import signal
 import threading
@@ -56,6 +57,7 @@
 
 QUEUE_TICK_S = 0.05
 PLATFORM_TICK_S = 0.5
+EXIT_CUT = 1  # requests were cut at shutdown
 
 logger = structlog.get_logger()
 
@@ -198,7 +200,10 @@
         self._edge.start()
         logger.info("daemon: serving", instance=self._fleet.own().instance)
         self._stop_asked.wait()
-        self._drain.run()
+        if not self._drain.run():
+            # The servers would wait for every thread that waits for an upstream.
+            logger.info("daemon: stopped")
+            os._exit(EXIT_CUT)
         self._stop()
         return 0
 
--- a/chicorychute/services/drain.py
+++ b/chicorychute/services/drain.py
@@ -60,8 +60,14 @@
         """Wait no longer for requests in flight."""
         self._cut.set()
 
-    def run(self) -> None:
-        """Leave, and return once nothing is in flight or the limit is over."""
+    def run(self) -> bool:
+        """Leave, and return once nothing is in flight or the limit is over.
+
+        Returns
+        -------
+        bool
+            Whether no request was cut.
+        """
         end_s = self._clock.monotonic() + self._limit_s
         self.leave()
         self._cut.wait(min(SETTLE_S, self._limit_s))
@@ -69,7 +75,7 @@
         while not self._empty() and self._clock.monotonic() < end_s:
             if self._cut.wait(POLL_S):
                 break
-        self._report()
+        return self._report()
 
     def on_forward(self, link: Link, call: Forward) -> bool:
         """Refuse a peer's request if the gate is closing; returns whether it did."""
@@ -82,16 +88,18 @@
     def _empty(self) -> bool:
         return self._gate.idle() and self._leaving.quiet_s() >= QUIET_S
 
-    def _report(self) -> None:
+    def _report(self) -> bool:
         digests = self._gate.digests()
         running = sum(digest.in_flight for digest in digests)
         waiting = sum(digest.queued for digest in digests)
         entered = self._leaving.in_flight
-        if running or waiting or entered:
-            logger.warning(
-                "daemon: requests were cut",
-                by="a second signal" if self._cut.is_set() else "the drain limit",
-                answering=entered,
-                running=running,
-                waiting=waiting,
-            )
+        if not (running or waiting or entered):
+            return True
+        logger.warning(
+            "daemon: requests were cut",
+            by="a second signal" if self._cut.is_set() else "the drain limit",
+            answering=entered,
+            running=running,
+            waiting=waiting,
+        )
+        return False
--- a/tests/processes/test_replacement.py
+++ b/tests/processes/test_replacement.py
@@ -135,3 +135,48 @@
     assert len(keys) == len(set(keys))
     assert all(count == 1 for _, count in runs)
     assert exits == [None] * len(PLACES)
+
+
+def test_killed_daemon_loses_only_what_it_held():
+    with Fleet(PLACES, make_table(5000), service_ms=5.0) as fleet:
+        node = fleet.nodes[1]
+        with Callers(fleet) as callers:
+            fleet.wait_for(lambda: callers.answered > 300, "load")
+            end(node.daemon, signal.SIGKILL)
+            node.daemon.wait()
+            answered = callers.answered
+            fleet.wait_for(lambda: callers.answered > answered + 300, "load after it")
+        runs = [fleet.counts(other)["runs_by_key"] for other in fleet.nodes]
+    assert len(callers.cuts) <= CALLERS
+    keys = [key for counts in runs for key in counts]
+    assert len(keys) == len(set(keys))
+    assert {count for counts in runs for count in counts.values()} == {1}
+
+
+def test_second_signal_stops_at_once_and_the_log_says_what_was_cut():
+    with Fleet(PLACES[:1], make_table(60000), service_ms=5.0) as fleet:
+        node = fleet.nodes[0]
+        fleet.set_faults(node, hang_share=1.0)
+        caller = threading.Thread(target=hang, args=(node,))
+        caller.start()
+        fleet.wait_for(lambda: running(fleet, node) == 1, "a request in flight")
+        end(node.daemon, signal.SIGTERM)
+        fleet.wait_for(lambda: "daemon: leaving" in fleet.logs(), "the first signal")
+        end(node.daemon, signal.SIGTERM)
+        node.daemon.wait(EXIT_LIMIT_S)
+        logs = fleet.logs()
+    caller.join()
+    assert "requests were cut" in logs
+    assert "second signal" in logs
+
+
+def running(fleet, node):
+    return sum(upstream["in_flight"] for upstream in fleet.status(node)["upstreams"])
+
+
+def hang(node):
+    http = urllib3.PoolManager(retries=False)
+    try:
+        http.request("GET", node.edge_url + "/checks/1", timeout=60)
+    except urllib3.exceptions.HTTPError:
+        return
