--- /dev/null
+++ b/tests/telemetry/test_logs.py
@@ -0,0 +1,41 @@
+import pytest
+import structlog
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.telemetry.logs import FLOOD_LINES, FLOOD_PERIOD_S, FloodLimit
+
+
+def passed(limit, event, count):
+    lines = []
+    for _ in range(count):
+        try:
+            lines.append(limit(None, "warning", {"event": event}))
+        except structlog.DropEvent:
+            continue
+    return lines
+
+
+def test_flood_of_one_event_becomes_a_few_lines_and_a_number():
+    clock = ManualClock()
+    limit = FloodLimit(clock)
+    assert len(passed(limit, "link: closed", 1000)) == FLOOD_LINES
+    assert len(passed(limit, "table: version is in force", 1)) == 1
+    clock.advance(FLOOD_PERIOD_S)
+    (line,) = passed(limit, "link: closed", 1)
+    assert line["repeated"] == 1000 - FLOOD_LINES
+
+
+def test_quiet_events_tell_no_number():
+    clock = ManualClock()
+    limit = FloodLimit(clock)
+    passed(limit, "link: closed", 1)
+    clock.advance(FLOOD_PERIOD_S)
+    (line,) = passed(limit, "link: closed", 1)
+    assert "repeated" not in line
+
+
+def test_limited_line_is_dropped_by_structlog():
+    limit = FloodLimit(ManualClock())
+    passed(limit, "a: b", FLOOD_LINES)
+    with pytest.raises(structlog.DropEvent):
+        limit(None, "info", {"event": "a: b"})
