--- /dev/null
+++ b/chicorychute/membership/listing.py
@@ -0,0 +1,43 @@
+"""Leaving flags of the platform's list, which lags and knows no incarnations."""
+
+from collections.abc import Iterable, Mapping
+
+from chicorychute.core.clock import Clock
+
+LIST_LAG_S = 120.0
+
+
+class Listing:
+    """Flags of the last list, each for the process that ran when it appeared."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._incarnation_by_id: dict[str, int] = {}
+        self._own_since_s: float | None = None
+        self._own_seen_staying = False
+
+    def says_leaving(self, instance: str, incarnation: int) -> bool:
+        """Return whether the flag of an instance is meant for this incarnation."""
+        return self._incarnation_by_id.get(instance) == incarnation
+
+    def take(
+        self,
+        own: str,
+        leaving: set[str],
+        staying: Iterable[str],
+        incarnation_by_id: Mapping[str, int],
+    ) -> bool:
+        """Replace the list; returns whether it tells the own instance to leave."""
+        for instance in [i for i in self._incarnation_by_id if i not in leaving]:
+            del self._incarnation_by_id[instance]
+        for instance, incarnation in incarnation_by_id.items():
+            self._incarnation_by_id.setdefault(instance, incarnation)
+        if own not in leaving:
+            self._own_since_s = None
+            self._own_seen_staying |= own in set(staying)
+            return False
+        now_s = self._clock.monotonic()
+        if self._own_since_s is None:
+            self._own_since_s = now_s
+        # The flag of an earlier process under this id lasts as long as the list lags.
+        return self._own_seen_staying or now_s - self._own_since_s > LIST_LAG_S
--- a/chicorychute/membership/probes.py
+++ b/chicorychute/membership/probes.py
@@ -101,3 +101,38 @@
     def _heard_other_since(self, instance: str, since_s: float) -> bool:
         heard = (self._last_heard, self._heard_before)
         return any(name != instance and at_s >= since_s for name, at_s in heard)
+
+
+class Askers:
+    """Peers that wait for what a probe on their behalf finds.
+
+    Parameters
+    ----------
+    keep_s : float
+        Time after which an answer is of no more use to them.
+    """
+
+    def __init__(self, keep_s: float, clock: Clock):
+        self._keep_s = keep_s
+        self._clock = clock
+        self._since_by_asker: dict[tuple[str, str], float] = {}
+
+    def add(self, target: str, asker: str) -> None:
+        """Note that `asker` waits for a sign of life of `target`."""
+        self._since_by_asker[target, asker] = self._clock.monotonic()
+
+    def take(self, target: str) -> list[str]:
+        """Return and forget the askers of a target."""
+        askers = [asker for name, asker in self._since_by_asker if name == target]
+        for asker in askers:
+            del self._since_by_asker[target, asker]
+        return askers
+
+    def expire(self) -> None:
+        """Forget askers that waited too long."""
+        limit_s = self._clock.monotonic() - self._keep_s
+        old = [
+            key for key, since_s in self._since_by_asker.items() if since_s < limit_s
+        ]
+        for key in old:
+            del self._since_by_asker[key]
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -19,7 +19,9 @@
     ProbeRequest,
     UpstreamDigest,
 )
-from chicorychute.membership.probes import Finding, Probes
+from chicorychute.membership.hosts import HostIndex
+from chicorychute.membership.listing import Listing
+from chicorychute.membership.probes import Askers, Finding, Probes
 from chicorychute.membership.records import (
     claim,
     resolve,
@@ -40,7 +42,6 @@
 PAUSE_FACTOR = 0.5  # of the suspicion period, between two rounds: was paused
 DEAD_FACTOR = 2  # suspicion periods without a refutation until given up
 TOMBSTONE_S = 300.0
-LIST_LAG_S = 120.0
 DEAD_RETRY_SHARE = 0.1  # of the rounds ask a dead instance, to heal a split
 
 NEXT_ON_SILENCE = {
@@ -89,7 +90,7 @@
         self._clock = clock
         self._rng = rng
         self._member_by_id: dict[str, _Member] = {}
-        self._hosts_by_service: dict[str, set[str]] = {}
+        self._hosts = HostIndex()
         self._present = Ring()
         self._sharing = Ring()
         self._dead_since_by_id: dict[str, float] = {}
@@ -97,10 +98,8 @@
         self._lost_paths: set[str] = set()
         self._news = News()
         self._probes = Probes(suspect_after_s, clock)
-        self._asker_by_target: dict[str, dict[str, float]] = {}
-        self._listed_leaving_by_id: dict[str, int] = {}
-        self._own_listed_since_s: float | None = None
-        self._own_seen_staying = False
+        self._askers = Askers(suspect_after_s, clock)
+        self._listing = Listing(clock)
         self._last_round_s = clock.monotonic()
 
     @property
@@ -167,8 +166,7 @@
         status = member.record.status
         if status is not MemberStatus.ALIVE:
             return status
-        incarnation = self._listed_leaving_by_id.get(instance)
-        if incarnation == member.record.incarnation:
+        if self._listing.says_leaving(instance, member.record.incarnation):
             return MemberStatus.LEAVING
         return MemberStatus.SUSPECT if instance in self._lost_paths else status
 
@@ -186,7 +184,7 @@
 
     def hosts(self, service: str) -> list[MemberRecord]:
         """Return the records of the instances beside which a service runs."""
-        ids = self._hosts_by_service.get(service, ())
+        ids = self._hosts.of(service)
         hosts = [self._member_by_id[instance].record for instance in ids]
         if service in self._own.services:
             hosts.append(self._own)
@@ -200,7 +198,7 @@
         self._last_round_s = now_s
         sends = self._judge()
         self._expire(now_s)
-        self._drop_askers(now_s)
+        self._askers.expire()
         for partner in self._partners():
             self._probes.start(partner)
             sends.append(Send(partner, self.message_for(partner, True)))
@@ -220,6 +218,8 @@
         sender = message.sender
         newcomer = sender not in self._present
         self.merge(message.records)
+        if self._is_replaced(message):
+            return ()
         self._probes.heard(sender)
         if not message.reply:
             self._probes.answered(sender)
@@ -234,8 +234,7 @@
         target = request.target
         if target not in self._member_by_id:
             return ()
-        askers = self._asker_by_target.setdefault(target, {})
-        askers[request.sender] = self._clock.monotonic()
+        self._askers.add(target, request.sender)
         return (Send(target, self.message_for(target, True)),)
 
     def on_unreachable(self, instance: str) -> None:
@@ -251,37 +250,25 @@
             Whether the list tells the own instance to leave.
         """
         flagged = set(leaving)
-        for instance in flagged:
-            record = self.record_of(instance)
-            if record is not None:
-                self._listed_leaving_by_id.setdefault(instance, record.incarnation)
-        for instance in [i for i in self._listed_leaving_by_id if i not in flagged]:
-            del self._listed_leaving_by_id[instance]
-        return self._own_must_leave(flagged, set(staying))
-
-    def _own_must_leave(self, leaving: set[str], staying: set[str]) -> bool:
-        if self._own.instance not in leaving:
-            self._own_listed_since_s = None
-            self._own_seen_staying |= self._own.instance in staying
-            return False
-        now_s = self._clock.monotonic()
-        if self._own_listed_since_s is None:
-            self._own_listed_since_s = now_s
-        # The flag of an earlier process under this id lasts as long as the list lags.
-        return self._own_seen_staying or now_s - self._own_listed_since_s > LIST_LAG_S
+        known = filter(None, map(self.record_of, flagged))
+        incarnations = {record.instance: record.incarnation for record in known}
+        return self._listing.take(self._own.instance, flagged, staying, incarnations)
 
     def _tell_askers(self, target: str) -> tuple[Send, ...]:
-        askers = self._asker_by_target.pop(target, {})
+        askers = self._askers.take(target)
         if not askers:
             return ()
         record = self._member_by_id[target].record
         message = Gossip(self._own.instance, False, (record,))
         return tuple(Send(asker, message) for asker in askers)
 
-    def _drop_askers(self, now_s: float) -> None:
-        for target, askers in list(self._asker_by_target.items()):
-            if now_s - max(askers.values()) > self._suspect_after_s:
-                del self._asker_by_target[target]
+    def _is_replaced(self, message: Gossip) -> bool:
+        """Return whether the sender is an old process under a reused id."""
+        known = self.record_of(message.sender)
+        return known is not None and any(
+            record.instance == message.sender and record.incarnation < known.incarnation
+            for record in message.records
+        )
 
     def _refute(self, record: MemberRecord) -> None:
         if record.incarnation != self._own.incarnation:
@@ -348,17 +335,12 @@
             self._sharing.add(instance)
 
     def _index(self, record: MemberRecord) -> None:
-        for service in services_of(record):
-            self._hosts_by_service.setdefault(service, set()).add(record.instance)
+        self._hosts.add(record)
         if self._shares(record) and record.instance in self._present:
             self._sharing.add(record.instance)
 
     def _unindex(self, record: MemberRecord) -> None:
-        for service in services_of(record):
-            hosts = self._hosts_by_service.get(service, set())
-            hosts.discard(record.instance)
-            if not hosts:
-                self._hosts_by_service.pop(service, None)
+        self._hosts.discard(record)
         self._sharing.discard(record.instance)
 
     def _rebuild_sharing(self) -> None:
@@ -456,7 +438,7 @@
         if member is None:
             return []
         shared = set(services_of(member.record)).intersection(self._own.services)
-        hosts = {i for s in shared for i in self._hosts_by_service.get(s, ())}
+        hosts = {i for service in shared for i in self._hosts.of(service)}
         present = sorted(hosts & self._present.members() - {receiver})
         return self._rng.sample(present, min(DETAIL_RECORDS, len(present)))
 
