--- a/tests/membership/test_claims.py
+++ b/tests/membership/test_claims.py
@@ -93,3 +93,11 @@
         clock.advance(86_400 / 4_200)
         view.gossip_round()
     assert len(view.records()) < 100
+
+
+def test_gossip_of_a_replaced_process_gets_no_answer():
+    view, _ = make_view()
+    view.merge((record_of("a", incarnation=2, heartbeat=1),))
+    old = record_of("a", incarnation=1, heartbeat=900)
+    assert view.on_gossip(Gossip("a", True, (old,))) == ()
+    assert view.record_of("a").incarnation == 2
