--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Standing measurements that start processes or run long."""
+"""Measurements that need the repository; the others are in chicorychute.bench."""
--- a/chicorychute/conf/together.py
+++ b/chicorychute/conf/together.py
@@ -22,6 +22,7 @@
     id: str
     service: str
     url: str
+    probe: str = ""
 
 
 def check_together(
