--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -71,6 +71,7 @@
         self._rng = rng
         self._probes = Probes(suspect_after_s, clock)
         self._members = Members(clock, self._probes.showed_life)
+        self._members.share_services(own.services)
         self._composer = Composer(self._members, rng)
         self._askers = Askers(suspect_after_s, clock)
         self._listing = Listing(clock)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -107,3 +107,21 @@
         view.message_for("i7", False)  # news of the joins is told first
     for send in view.gossip_round():
         assert len(send.message.records) <= 46
+
+
+def test_large_fleet_tells_whole_records_where_a_service_is_shared_only():
+    services_of = {f"i{n}": (f"s{n % 40}",) for n in range(400)}
+    net = Net([], services=())
+    for instance, services in services_of.items():
+        net.start(instance, services=services)
+    view = net.view_by_id["i0"]
+    view.merge(other.own for other in net.view_by_id.values())
+    net.settle()
+    for _ in range(20):
+        for send in view.gossip_round():
+            shares = services_of[send.instance] == services_of["i0"]
+            whole = {r.instance for r in send.message.records if r.whole}
+            assert all(services_of[i] == services_of[send.instance] for i in whole)
+            assert (len(whole) > 1) is shares
+    told = {send.instance for send in view.gossip_round()}
+    assert any(services_of[instance] == services_of["i0"] for instance in told)
