--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Measures the slopes that docs/CAPACITY.md works out the target from.
 
-``python -m bench.capacity members|gossip|spread|table|relay``
+``python -m bench.capacity members|gossip|spread|table|relay|resident``
 """
 
 import argparse
@@ -8,6 +8,7 @@
 import statistics
 import time
 import tracemalloc
+from pathlib import Path
 
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import (
@@ -26,7 +27,7 @@
 from chicorychute.table.routes import RouteIndex
 from chicorychute.table.versions import TableVersions
 from chicorychute.transport.codec import decode, encode
-from standins.fleet import TABLE_HEADER
+from standins.fleet import TABLE_HEADER, Fleet
 from tests.membership.net import Net
 
 DAEMONS = 4_200
@@ -266,6 +267,16 @@
     return [place.instance for place in rng.sample(others, 5)]
 
 
+def measure_resident() -> None:
+    """Print the resident memory of the idle daemons of a small fleet."""
+    places = [(f"r{n // 2}", f"zone-{n}", "service-0000") for n in range(6)]
+    with Fleet(places, make_table_text(2, 30)) as fleet:
+        for node in fleet.nodes:
+            status = Path(f"/proc/{node.daemon.pid}/status").read_text("utf-8")
+            held = [line for line in status.splitlines() if line.startswith("VmRSS")]
+            print(node.instance, " ".join(held[0].split()))
+
+
 def timed(work) -> float:
     """Return the processor seconds of `work`, the least of three runs."""
     costs = []
@@ -282,6 +293,7 @@
     "spread": measure_spread,
     "table": measure_table,
     "relay": measure_relay,
+    "resident": measure_resident,
 }
 
 
