--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -290,4 +290,12 @@
         "http://host:port",
         "Where it listens.",
     ),
+    Key(
+        "upstream",
+        "probe",
+        str,
+        "",
+        "a path, or nothing for no probes",
+        "Asked by GET while no request shows the upstream's health.",
+    ),
 )
