--- a/bench/traces.py
+++ b/bench/traces.py
@@ -69,7 +69,7 @@
         RankLoad("ledger", 0.2, ServiceTime(0.015, Tail.PARETO, 1.8)),
     ),
     (
-        "orders,order,POST /orders,1,0.3,400,2000,once,0.1,4,0.7,1,0,1000",
+        "orders,order,POST /orders,1,0.3,400,2000,once,0.2,4,0.7,1,0,1000",
         "orders,catalogue,GET /kits/*,2,0.3,400,2000,idempotent,0.2,4,0.7,1,0,1000",
         "orders,ledger,GET /ledger/*,9,0.1,2000,2000,idempotent,0.2,4,0.7,1,0,1000",
     ),
@@ -85,7 +85,7 @@
     ),
     (
         "scores,lookup,GET /scores/*,1,0.4,400,2000,idempotent,0.2,4,0.5,1.5,0,1000",
-        "scores,commission,POST /commissions,2,0.3,600,4000,once,0.1,4,0.5,1.5,0,1000",
+        "scores,commission,POST /commissions,2,0.3,600,4000,once,0.2,4,0.5,1.5,0,1000",
         "scores,check,GET /checks/*,9,0.1,2000,2000,idempotent,0.2,4,0.5,1.5,0,1000",
     ),
 )
