--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that need the repository; the others are in chicorychute.bench."""
+"""Standing measurements that start processes or run long."""
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -2,7 +2,6 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 
@@ -25,6 +24,7 @@
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
 from chicorychute.services.recorder import NoRecorder
+from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Row, Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.upstream import (
@@ -72,7 +72,7 @@
         self._recorder = recorder or NoRecorder()
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
-        self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="gate")
+        self._pool = WorkerPool("gate", POOL_THREADS)
         self._upstream_by_id = {
             settings.id: _Upstream(
                 settings,
