--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -105,6 +105,12 @@
     return lambda value: timedelta(seconds=read_number(value))
 
 
+def _path_or_nothing(value: str) -> str:
+    if value and (not value.startswith("/") or any(c.isspace() for c in value)):
+        raise ValueError(value)
+    return value
+
+
 def _one_of(*names: str) -> Callable[[str], str]:
     def read(value: str) -> str:
         if value not in names:
@@ -293,7 +299,7 @@
     Key(
         "upstream",
         "probe",
-        str,
+        _path_or_nothing,
         "",
         "a path, or nothing for no probes",
         "Asked by GET while no request shows the upstream's health.",
