Keep each rank's share by slot time, and refuse late work early

Cause: the queue credited a rank by whole grants, knew no service time, and so admitted work up to a length and not to a deadline. In a flood of the most urgent rank nearly every request that it ran was answered late. Change: a rank earns credit in seconds of a slot while it waits, and its guarantee is in force while the ranks above ask for more than the capacity. A request whose predicted wait passes its deadline is refused on arrival. Expiry takes a heap in place of a scan. The queue tells the wait of each rank.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions on recorded arrivals."""
--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -1,23 +1,28 @@
 """Admits requests to one upstream by rank, within its slots."""
 
-from collections import deque
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterable
 
 import attrs
 
+from chicorychute.admission.ranks import RankOrder, RankPolicy
 from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import Reason
 
-QUEUE_LIMIT_PER_SLOT = 100
-URGENCY_STEP = 16.0  # weight ratio between neighbouring priorities
-
-
-@attrs.frozen
-class RankPolicy:
-    """Cells of the table that the queue needs for one rank."""
+__all__ = [
+    "Decision",
+    "Granted",
+    "Queued",
+    "RankPolicy",
+    "Refused",
+    "Ticket",
+    "UpstreamQueue",
+]
 
-    rank: str
-    priority: int
-    share: float
+QUEUE_LIMIT_PER_SLOT = 100
+STALE_DEADLINES = 64  # entries of tickets that left, kept before a clean-up
 
 
 @attrs.frozen(eq=False)
@@ -28,10 +33,16 @@
     ----------
     deadline_s : float
         Reading of the gate's clock after which the answer is worthless.
+    team : str
+        Team that sent the request, empty where it named none.
+    alone : bool
+        Whether no other request may run beside it.
     """
 
     rank: str
     deadline_s: float
+    team: str = ""
+    alone: bool = False
 
 
 @attrs.frozen
@@ -68,13 +79,30 @@
         Requests that the upstream runs at a time.
     policies : iterable of RankPolicy
         One for each rank of the service.
+    order : RankOrder, optional
+        Chooses among the ranks.
+
+    Attributes
+    ----------
+    limit : int
+        Slots in use, lowered below `slots` while the upstream sheds or slows.
     """
 
-    def __init__(self, slots: int, policies: tuple[RankPolicy, ...], clock: Clock):
+    def __init__(
+        self,
+        slots: int,
+        policies: Iterable[RankPolicy],
+        clock: Clock,
+        order: RankOrder | None = None,
+    ):
         self._clock = clock
-        self._waiting_by_rank: dict[str, deque[Ticket]] = {}
-        self._credit_by_rank: dict[str, float] = {}
+        self._order = RankOrder() if order is None else order
+        self._waiting_by_rank: dict[str, OrderedDict[Ticket, None]] = {}
+        self._granted_s_by_ticket: dict[Ticket, float] = {}
+        self._deadlines: list[tuple[float, int, Ticket]] = []
+        self._numbers = itertools.count()
         self._queued = 0
+        self._alone: Ticket | None = None
         self.in_flight = 0
         self.configure(slots, policies)
 
@@ -83,78 +111,161 @@
         """Requests waiting for a slot."""
         return self._queued
 
-    def configure(self, slots: int, policies: tuple[RankPolicy, ...]) -> None:
-        """Take the cells of a new table; waiting requests stay in place."""
-        self.slots = slots
-        self._policy_by_rank = {policy.rank: policy for policy in policies}
-        for policy in policies:
-            self._waiting_by_rank.setdefault(policy.rank, deque())
-            self._credit_by_rank.setdefault(policy.rank, 0.0)
+    def wait_s(self, rank: str) -> float:
+        """Return the wait predicted for a request of `rank` that came now."""
+        if rank not in self._order.by_rank:
+            return 0.0
+        return self._order.wait_s(rank, self.limit)
+
+    def configure(self, slots: int, policies: Iterable[RankPolicy]) -> None:
+        """Take the cells of a new table; `advance` refuses ranks that are gone."""
+        self.slots = self.limit = slots
+        self._order.configure(policies)
+        for rank in self._order.by_rank:
+            self._waiting_by_rank.setdefault(rank, OrderedDict())
 
     def submit(self, ticket: Ticket) -> Decision:
         """Grant a slot, queue the request or refuse it."""
-        if ticket.rank not in self._policy_by_rank:
+        now_s = self._clock.monotonic()
+        if ticket.rank not in self._order.by_rank:
             return Refused(ticket, Reason.NO_ROUTE)
-        if self._clock.monotonic() >= ticket.deadline_s:
+        self._order.arrived(ticket.rank, now_s, self.limit)
+        if now_s >= ticket.deadline_s:
             return Refused(ticket, Reason.DEADLINE)
-        if self.in_flight < self.slots and not self._queued:
-            self.in_flight += 1
+        if self._has_room(ticket) and not self._ready_ranks():
+            self._grant(ticket, now_s)
             return Granted(ticket)
-        waiting = self._waiting_by_rank[ticket.rank]
-        if len(waiting) >= self.slots * QUEUE_LIMIT_PER_SLOT:
+        if self._too_late_if_queued(ticket, now_s):
             return Refused(ticket, Reason.OVERLOAD)
-        waiting.append(ticket)
-        self._queued += 1
+        self._enqueue(ticket)
         return Queued(ticket)
 
-    def release(self) -> list[Decision]:
-        """Return one slot; returns the grants and refusals that follow."""
+    def release(self, ticket: Ticket | None = None) -> list[Decision]:
+        """Return one slot; returns the grants and refusals that follow.
+
+        Parameters
+        ----------
+        ticket : Ticket, optional
+            Request that held the slot; the time that it held it is measured.
+        """
         self.in_flight -= 1
+        granted_s = self._granted_s_by_ticket.pop(ticket, None)
+        state = None if ticket is None else self._order.by_rank.get(ticket.rank)
+        if granted_s is not None and state is not None:
+            now_s = self._clock.monotonic()
+            state.running = max(0, state.running - 1)
+            state.service.observe(now_s - granted_s, now_s)
+        if ticket is not None and ticket is self._alone:
+            self._alone = None
         return self.advance()
 
     def cancel(self, ticket: Ticket) -> bool:
         """Remove a waiting request; returns False if it no longer waits."""
-        waiting = self._waiting_by_rank.get(ticket.rank, deque())
+        waiting = self._waiting_by_rank.get(ticket.rank, {})
         if ticket not in waiting:
             return False
-        waiting.remove(ticket)
-        self._queued -= 1
+        self._remove(ticket)
         return True
 
     def advance(self) -> list[Decision]:
         """Drop requests past their deadline and fill free slots by rank."""
-        decisions: list[Decision] = list(self._expire())
-        while self._queued and self.in_flight < self.slots:
-            waiting = self._waiting_by_rank[self._next_rank()]
-            self._queued -= 1
-            self.in_flight += 1
-            decisions.append(Granted(waiting.popleft()))
+        now_s = self._clock.monotonic()
+        decisions: list[Decision] = self._drop_unknown_ranks()
+        decisions += self._expire(now_s)
+        self._order.refresh(now_s, self.limit)
+        while self.in_flight < self.limit and self._alone is None:
+            ranks = self._ready_ranks()
+            if not ranks:
+                break
+            ticket = next(iter(self._waiting_by_rank[self._order.choose(ranks)]))
+            if ticket.alone and self.in_flight:
+                break
+            self._remove(ticket)
+            if self._too_late_if_run(ticket, now_s):
+                decisions.append(Refused(ticket, Reason.DEADLINE))
+                continue
+            self._grant(ticket, now_s)
+            decisions.append(Granted(ticket))
         return decisions
 
-    def _expire(self) -> list[Refused]:
-        now = self._clock.monotonic()
-        expired = []
-        for waiting in self._waiting_by_rank.values():
-            late = [ticket for ticket in waiting if now >= ticket.deadline_s]
-            for ticket in late:
-                waiting.remove(ticket)
+    def _has_room(self, ticket: Ticket) -> bool:
+        if self.in_flight >= self.limit or self._alone is not None:
+            return False
+        if ticket.alone and self.in_flight:
+            return False
+        return self._below_cap(ticket.rank)
+
+    def _below_cap(self, rank: str) -> bool:
+        state = self._order.by_rank[rank]
+        return not state.policy.slots or state.running < state.policy.slots
+
+    def _ready_ranks(self) -> list[str]:
+        if not self._queued:
+            return []
+        return [
+            rank
+            for rank in self._order.by_rank
+            if self._waiting_by_rank[rank] and self._below_cap(rank)
+        ]
+
+    def _enqueue(self, ticket: Ticket) -> None:
+        self._waiting_by_rank[ticket.rank][ticket] = None
+        self._order.by_rank[ticket.rank].waiting += 1
+        self._queued += 1
+        entry = (ticket.deadline_s, next(self._numbers), ticket)
+        heapq.heappush(self._deadlines, entry)
+
+    def _remove(self, ticket: Ticket) -> None:
+        del self._waiting_by_rank[ticket.rank][ticket]
+        self._queued -= 1
+        state = self._order.by_rank.get(ticket.rank)
+        if state is not None:
+            state.waiting -= 1
+        if len(self._deadlines) > 2 * self._queued + STALE_DEADLINES:
+            self._deadlines = [e for e in self._deadlines if self._waits(e[2])]
+            heapq.heapify(self._deadlines)
+
+    def _waits(self, ticket: Ticket) -> bool:
+        return ticket in self._waiting_by_rank.get(ticket.rank, {})
+
+    def _grant(self, ticket: Ticket, now_s: float) -> None:
+        self.in_flight += 1
+        self._order.by_rank[ticket.rank].running += 1
+        self._order.granted(ticket.rank)
+        self._granted_s_by_ticket[ticket] = now_s
+        if ticket.alone:
+            self._alone = ticket
+
+    def _too_late_if_queued(self, ticket: Ticket, now_s: float) -> bool:
+        state = self._order.by_rank[ticket.rank]
+        if state.waiting >= max(self.slots, 1) * QUEUE_LIMIT_PER_SLOT:
+            return True
+        wait_s = self._order.wait_s(ticket.rank, self.limit)
+        return now_s + wait_s + state.service.likely_s(now_s) > ticket.deadline_s
+
+    def _too_late_if_run(self, ticket: Ticket, now_s: float) -> bool:
+        """Return whether the answer would come late while others could use the slot."""
+        if not self.in_flight:
+            return False
+        service = self._order.by_rank[ticket.rank].service
+        return now_s + service.likely_s(now_s) > ticket.deadline_s
+
+    def _expire(self, now_s: float) -> list[Decision]:
+        expired: list[Decision] = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            ticket = heapq.heappop(self._deadlines)[2]
+            if self._waits(ticket):
+                self._remove(ticket)
                 expired.append(Refused(ticket, Reason.DEADLINE))
-        self._queued -= len(expired)
         return expired
 
-    def _next_rank(self) -> str:
-        """Return the rank whose guaranteed share is most overdue, else the first.
-
-        Each grant credits every waiting rank by its share and debits the rank
-        served; a rank with a credit of one whole slot goes before its turn.
-        """
-        waiting = [rank for rank, queue in self._waiting_by_rank.items() if queue]
-        for rank in waiting:
-            self._credit_by_rank[rank] += self._policy_by_rank[rank].share
-        overdue = [rank for rank in waiting if self._credit_by_rank[rank] >= 1]
-        if overdue:
-            rank = max(overdue, key=self._credit_by_rank.__getitem__)
-        else:
-            rank = min(waiting, key=lambda r: self._policy_by_rank[r].priority)
-        self._credit_by_rank[rank] = max(0.0, self._credit_by_rank[rank] - 1)
-        return rank
+    def _drop_unknown_ranks(self) -> list[Decision]:
+        gone = self._waiting_by_rank.keys() - self._order.by_rank.keys()
+        dropped: list[Decision] = []
+        for rank in sorted(gone):
+            tickets = list(self._waiting_by_rank[rank])
+            for ticket in tickets:
+                self._remove(ticket)
+                dropped.append(Refused(ticket, Reason.NO_ROUTE))
+            del self._waiting_by_rank[rank]
+        return dropped
--- /dev/null
+++ b/chicorychute/admission/ranks.py
@@ -0,0 +1,176 @@
+"""Order of the ranks: the most urgent first, each with its guaranteed share.
+
+A rank earns credit, in seconds of a slot, while it waits, and is served before
+its turn once the credit pays for a request. The guarantee is in force while the
+ranks above ask for more than the whole capacity; otherwise it yields, but for a
+small part, so that urgent work whose own load fits is not held up. Where the
+ranks that fit leave less than the guarantees of the others, these are scaled
+down alike.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chicorychute.admission.load import ArrivalRate, ServiceTime, window_s
+
+YIELDED_PART = 0.1  # of the share, while the more urgent ranks fit the capacity
+FLOOD_BEGINS = 1.0  # demand of the ranks above, as a part of the capacity
+FLOOD_ENDS = 0.95
+MIN_COST_S = 1e-4  # stands for a service time that is not known
+CREDIT_LIMIT = 4.0  # requests of credit that a waiting rank may save
+REFRESH_S = 0.05  # pause between readings of the demand
+
+
+@attrs.frozen
+class RankPolicy:
+    """Cells of the table that the queue needs for one rank.
+
+    Attributes
+    ----------
+    slots : int
+        Requests of this rank that the upstream runs at a time, 0 for as many
+        as the upstream has.
+    """
+
+    rank: str
+    priority: int
+    share: float
+    slots: int = 0
+
+
+@attrs.define(eq=False)
+class RankState:
+    """Load and credit of one rank."""
+
+    policy: RankPolicy
+    share: float = 0.0
+    credit_s: float = 0.0
+    demand: float = 0.0
+    flooded: bool = False
+    part_in_force: float = YIELDED_PART
+    waiting: int = 0
+    running: int = 0
+    arrivals: ArrivalRate = attrs.field(factory=ArrivalRate)
+    service: ServiceTime = attrs.field(factory=ServiceTime)
+
+    @property
+    def cost_s(self) -> float:
+        """Slot time that one request is charged."""
+        return max(self.service.mean_s, MIN_COST_S)
+
+    @property
+    def share_in_force(self) -> float:
+        """Part of the slots that the rank is owed now."""
+        return self.share * self.part_in_force
+
+
+class RankOrder:
+    """Chooses the rank to serve next.
+
+    Parameters
+    ----------
+    policies : iterable of RankPolicy
+        One for each rank; shares that sum to more than 1 are scaled down.
+    """
+
+    def __init__(self, policies: Iterable[RankPolicy] = ()):
+        self.by_rank: dict[str, RankState] = {}
+        self._refreshed_s = 0.0
+        self.configure(policies)
+
+    def configure(self, policies: Iterable[RankPolicy]) -> None:
+        """Take new policies; ranks that stay keep what was measured."""
+        known = self.by_rank
+        self.by_rank = {}
+        for policy in sorted(policies, key=lambda policy: policy.priority):
+            state = known.get(policy.rank) or RankState(policy)
+            state.policy = policy
+            self.by_rank[policy.rank] = state
+        total = sum(state.policy.share for state in self.by_rank.values())
+        for state in self.by_rank.values():
+            state.share = state.policy.share / max(total, 1.0)
+
+    def arrived(self, rank: str, now_s: float, slots: int) -> None:
+        """Count an arrival, whether or not it will be admitted."""
+        state = self.by_rank[rank]
+        state.arrivals.add(now_s, window_s(state.service.mean_s, slots))
+        self.refresh(now_s, slots)
+
+    def refresh(self, now_s: float, slots: int) -> None:
+        """Read the demand of each rank and which guarantees are in force."""
+        if now_s - self._refreshed_s < REFRESH_S or slots <= 0:
+            return
+        self._refreshed_s = now_s
+        for state in self.by_rank.values():
+            look_back_s = window_s(state.service.mean_s, slots)
+            rate = state.arrivals.per_second(now_s, look_back_s)
+            state.demand = rate * state.service.mean_s / slots
+        part = self._part_left()
+        for state in self.by_rank.values():
+            limit = FLOOD_ENDS if state.flooded else FLOOD_BEGINS
+            state.flooded = self._demand_above(state) > limit
+            state.part_in_force = part if state.flooded else YIELDED_PART
+
+    def choose(self, ranks: list[str]) -> str:
+        """Return the rank of `ranks` to serve next, without charging it."""
+        states = [self.by_rank[rank] for rank in ranks]
+        overdue = [state for state in states if state.credit_s >= state.cost_s]
+        if overdue:
+            chosen = max(overdue, key=lambda state: state.credit_s / state.cost_s)
+        else:
+            chosen = min(states, key=lambda state: state.policy.priority)
+        return chosen.policy.rank
+
+    def granted(self, rank: str) -> None:
+        """Charge a rank for one request and credit those that wait."""
+        served = self.by_rank[rank]
+        cost_s = served.cost_s
+        for state in self.by_rank.values():
+            if state.waiting or state is served:
+                earned_s = state.credit_s + state.share_in_force * cost_s
+                state.credit_s = min(earned_s, CREDIT_LIMIT * state.cost_s)
+        served.credit_s = max(0.0, served.credit_s - cost_s)
+
+    def wait_s(self, rank: str, slots: int) -> float:
+        """Return the wait predicted for a request that joins its queue now."""
+        state = self.by_rank[rank]
+        if state.flooded:
+            portion = state.share_in_force
+            ahead_s = state.waiting * state.cost_s
+        else:
+            portion = 1 - self._demand_above(state) - self._owed_below(state)
+            above = [other for other in self.by_rank.values() if _above(other, state)]
+            ahead_s = state.waiting * state.cost_s
+            ahead_s += sum(other.waiting * other.cost_s for other in above)
+        portion = max(portion, state.share_in_force, MIN_COST_S)
+        return ahead_s / (max(slots, 1) * portion)
+
+    def _part_left(self) -> float:
+        """Return the part of the guarantees that the ranks that fit leave room for."""
+        left = 1.0
+        owed = sum(state.share for state in self.by_rank.values())
+        for state in self.by_rank.values():
+            if state.demand >= left:
+                break
+            left -= state.demand
+            owed -= state.share
+        if owed <= left:
+            return 1.0
+        return max(left / owed, YIELDED_PART)
+
+    def _demand_above(self, state: RankState) -> float:
+        others = (other for other in self.by_rank.values() if _above(other, state))
+        return sum(other.demand for other in others)
+
+    def _owed_below(self, state: RankState) -> float:
+        return sum(
+            min(other.share_in_force, other.demand)
+            for other in self.by_rank.values()
+            if other is not state and not _above(other, state)
+        )
+
+
+def _above(other: RankState, state: RankState) -> bool:
+    """Return whether `other` goes before `state`, or shares its priority."""
+    return other is not state and other.policy.priority <= state.policy.priority
--- /dev/null
+++ b/tests/admission/test_queue.py
@@ -0,0 +1,187 @@
+"""Contract of the ranked queue."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chicorychute.admission.queue import (
+    Granted,
+    Queued,
+    RankPolicy,
+    Refused,
+    Ticket,
+    UpstreamQueue,
+)
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.outcomes import Reason
+
+POLICIES = (RankPolicy("order", 1, 0.3), RankPolicy("check", 9, 0.1))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def grants(decisions):
+    return [d.ticket for d in decisions if isinstance(d, Granted)]
+
+
+def reasons(decisions):
+    return [d.reason for d in decisions if isinstance(d, Refused)]
+
+
+def fill(queue, count, rank="check", deadline_s=100.0):
+    tickets = [Ticket(rank, deadline_s) for _ in range(count)]
+    return tickets, [queue.submit(ticket) for ticket in tickets]
+
+
+def test_urgent_work_goes_before_a_queue_of_the_least_urgent(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    running = fill(queue, 20)[0][0]
+    urgent = Ticket("order", 100.0)
+    assert queue.submit(urgent) == Queued(urgent)
+    assert grants(queue.release(running)) == [urgent]
+
+
+def test_ticket_past_its_deadline_at_its_grant_is_refused(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    running = fill(queue, 1)[0][0]
+    late, whole = Ticket("check", 5.0), Ticket("check", 100.0)
+    queue.submit(late)
+    queue.submit(whole)
+    clock.advance(6.0)
+    decisions = queue.release(running)
+    assert decisions == [Refused(late, Reason.DEADLINE), Granted(whole)]
+
+
+def test_predicted_wait_past_the_deadline_is_refused_on_arrival(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    (running, *_), _ = fill(queue, 11)
+    clock.advance(1.0)
+    queue.release(running)
+    soon, later = Ticket("check", 6.0), Ticket("check", 100.0)
+    assert queue.submit(soon) == Refused(soon, Reason.OVERLOAD)
+    assert queue.submit(later) == Queued(later)
+
+
+def test_an_old_estimate_does_not_refuse_for_ever(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    slow = fill(queue, 1, deadline_s=1000.0)[0][0]
+    clock.advance(60.0)
+    queue.release(slow)
+    clock.advance(10.0)
+    assert isinstance(queue.submit(Ticket("order", 100.0)), Granted)
+    assert isinstance(queue.submit(Ticket("check", 100.0)), Queued)
+
+
+def test_fewer_slots_in_a_new_table_take_effect_before_the_next_grant(clock):
+    queue = UpstreamQueue(4, POLICIES, clock)
+    tickets, _ = fill(queue, 8)
+    queue.configure(2, POLICIES)
+    for ticket in tickets[:2]:
+        assert queue.release(ticket) == []
+    assert len(grants(queue.release(tickets[2]))) == 1
+    assert queue.in_flight == 2
+
+
+def test_more_slots_in_a_new_table_are_filled_on_advance(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    tickets, _ = fill(queue, 3)
+    queue.configure(3, POLICIES)
+    assert grants(queue.advance()) == tickets[1:]
+
+
+def test_waiting_rank_that_leaves_the_table_is_refused(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    fill(queue, 3)
+    queue.configure(1, POLICIES[:1])
+    assert reasons(queue.advance()) == [Reason.NO_ROUTE] * 2
+    assert queue.queued == 0
+
+
+def test_rank_stays_within_its_own_slots(clock):
+    policies = (RankPolicy("order", 1, 0.3), RankPolicy("check", 9, 0.1, slots=1))
+    queue = UpstreamQueue(3, policies, clock)
+    (first, second), _ = fill(queue, 2)
+    assert (queue.in_flight, queue.queued) == (1, 1)
+    assert isinstance(queue.submit(Ticket("order", 100.0)), Granted)
+    assert grants(queue.release(first)) == [second]
+
+
+def test_ticket_that_must_run_alone_has_no_other_beside_it(clock):
+    queue = UpstreamQueue(2, POLICIES, clock)
+    (first, second), _ = fill(queue, 2)
+    suspect = Ticket("order", 100.0, alone=True)
+    other = Ticket("order", 100.0)
+    queue.submit(suspect)
+    queue.submit(other)
+    assert queue.release(first) == []
+    assert grants(queue.release(second)) == [suspect]
+    assert queue.advance() == []
+    assert grants(queue.release(suspect)) == [other]
+
+
+def test_expired_entries_do_not_pile_up(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    fill(queue, 1)
+    for _ in range(5000):
+        ticket = Ticket("check", 1e6)
+        queue.submit(ticket)
+        assert queue.cancel(ticket)
+    assert len(queue._deadlines) < 200
+
+
+STEP = st.tuples(
+    st.sampled_from(["submit", "release", "cancel", "advance", "slots"]),
+    st.sampled_from(["order", "check"]),
+    st.integers(0, 5),
+    st.booleans(),
+)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(STEP, max_size=60))
+def test_slots_are_never_exceeded_and_every_ticket_ends_once(steps):
+    clock = ManualClock()
+    queue = UpstreamQueue(2, POLICIES, clock)
+    running, waiting, ended = [], [], set()
+
+    def take(decisions, room):
+        for decision in decisions:
+            ticket = decision.ticket
+            assert ticket not in ended and ticket not in running
+            if isinstance(decision, Queued):
+                waiting.append(ticket)
+                continue
+            if ticket in waiting:
+                waiting.remove(ticket)
+            if isinstance(decision, Refused):
+                ended.add(ticket)
+                continue
+            assert clock.monotonic() < ticket.deadline_s
+            assert len(running) < room
+            assert not any(other.alone for other in running)
+            assert not (ticket.alone and running)
+            running.append(ticket)
+
+    for action, rank, number, alone in steps:
+        clock.advance(number * 0.25)
+        match action:
+            case "submit":
+                ticket = Ticket(rank, clock.monotonic() + number, alone=alone)
+                take([queue.submit(ticket)], queue.slots)
+            case "release" if running:
+                ticket = running.pop(number % len(running))
+                ended.add(ticket)
+                take(queue.release(ticket), queue.slots)
+            case "cancel" if waiting:
+                ticket = waiting.pop(number % len(waiting))
+                assert queue.cancel(ticket)
+                ended.add(ticket)
+            case "advance":
+                take(queue.advance(), queue.slots)
+            case "slots":
+                queue.configure(1 + number % 4, POLICIES)
+        assert queue.in_flight == len(running)
+        assert queue.queued == len(waiting)
