--- /dev/null
+++ b/chicorychute/admission/rate.py
@@ -0,0 +1,53 @@
+"""Rate of each team at one gate."""
+
+from collections import OrderedDict
+
+import attrs
+
+from chicorychute.core.clock import Clock
+
+BURST_S = 1.0  # of the rate that a quiet team may save
+TEAM_LIMIT = 4096  # buckets kept; one that is full again is worth nothing
+
+
+@attrs.define
+class _Bucket:
+    tokens: float
+    filled_s: float
+
+
+class TeamRates:
+    """Token bucket for each team, the least recently used dropped first."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._bucket_by_team: OrderedDict[tuple[str, str], _Bucket] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._bucket_by_team)
+
+    def take(self, rank: str, team: str, rate: float) -> bool:
+        """Take one request from a team's bucket; returns False if it is empty.
+
+        Parameters
+        ----------
+        rate : float
+            Requests a second that the team may send, 0 for no limit.
+        """
+        if rate <= 0:
+            return True
+        now_s = self._clock.monotonic()
+        burst = max(1.0, rate * BURST_S)
+        bucket = self._bucket_by_team.pop((rank, team), None)
+        if bucket is None:
+            bucket = _Bucket(burst, now_s)
+            if len(self._bucket_by_team) >= TEAM_LIMIT:
+                self._bucket_by_team.popitem(last=False)
+        self._bucket_by_team[rank, team] = bucket
+        earned = (now_s - bucket.filled_s) * rate
+        bucket.tokens = min(bucket.tokens + earned, burst)
+        bucket.filled_s = now_s
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -224,11 +224,26 @@
 
 @attrs.frozen
 class QuarantineNotice:
-    """Spreads the fingerprint of a request that crashed an upstream."""
+    """Spreads the fingerprint of a request in flight at a crash.
+
+    Attributes
+    ----------
+    remaining_s : float
+        Time for which the crash still counts.
+    instance : str
+        Instance whose upstream crashed.
+    crash : str
+        Names the crash in the whole fleet.
+    sole : bool
+        Whether no other request can have caused it.
+    """
 
     fingerprint: str
     upstream: str
     remaining_s: float
+    instance: str = ""
+    crash: str = ""
+    sole: bool = False
 
 
 Message = (
--- /dev/null
+++ b/chicorychute/transport/calls.py
@@ -0,0 +1,150 @@
+"""Requests on their way at an upstream, and their cancellation.
+
+A request is cancelled by closing the sending side of its connection, which the
+upstream sees as the end of its caller. The receiving side stays open while the
+upstream has not answered: what comes on it, an answer or the upstream's own
+close, shows that the upstream has stopped running the request.
+"""
+
+import contextlib
+import functools
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from http.client import HTTPResponse
+
+from urllib3.connection import HTTPConnection
+
+_current = threading.local()
+
+
+class UpstreamCall:
+    """One request at an upstream; `cancel` may be called from any thread."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._sock: socket.socket | None = None
+        self._head_came = False
+        self.cancelled = False
+        self.held: HeldConnection | None = None
+
+    def cancel(self) -> None:
+        """Tell the upstream that its answer is no longer wanted."""
+        with self._lock:
+            self.cancelled = True
+            if self._sock is not None:
+                _shut_down(self._sock, whole=self._head_came)
+
+    def attach(self, sock: socket.socket) -> None:
+        """Take the connection that is about to carry the request.
+
+        Raises
+        ------
+        ConnectionAbortedError
+            If the request was cancelled before.
+        """
+        with self._lock:
+            if self.cancelled:
+                raise ConnectionAbortedError("cancelled before it was sent")
+            self._sock = sock
+
+    def detach(self) -> None:
+        """Let go of a connection that carries the request no longer."""
+        with self._lock:
+            self._sock = None
+
+    def note_head(self) -> None:
+        """Note that the upstream has begun to answer."""
+        with self._lock:
+            self._head_came = True
+
+    def hold(self) -> None:
+        """Keep the receiving side if the upstream may still run the request."""
+        with self._lock:
+            if self._sock is None or self._head_came:
+                return
+            with contextlib.suppress(OSError):
+                _shut_down(self._sock, whole=False)
+                self.held = HeldConnection(self._sock.dup())
+            self._sock = None
+
+
+class HeldConnection:
+    """Receiving side of a connection whose answer nobody waits for."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+
+    def ended(self) -> bool:
+        """Return whether the upstream has answered or closed the connection."""
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+
+class _TrackedResponse(HTTPResponse):
+    """Answer that tells when its head has come."""
+
+    def __init__(self, note_head: Callable[[], None], *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._note_head = note_head
+
+    def begin(self) -> None:
+        """Read the head."""
+        super().begin()
+        self._note_head()
+
+
+class TrackedConnection(HTTPConnection):
+    """Connection that tells the call under way which socket carries it."""
+
+    _call: UpstreamCall | None = None
+
+    def request(self, *args, **kwargs) -> None:
+        """Send a request for the call of this thread."""
+        if self._call is not None:
+            self._call.detach()
+        self._call = getattr(_current, "call", None)
+        if self._call is not None and self.sock is not None:
+            self._call.attach(self.sock)
+        super().request(*args, **kwargs)
+
+    def connect(self) -> None:
+        """Connect on behalf of the call of this thread."""
+        super().connect()
+        if self._call is not None:
+            self._call.attach(self.sock)
+
+    def getresponse(self):
+        """Return the head of the answer."""
+        if self._call is not None:
+            note_head = self._call.note_head
+            self.response_class = functools.partial(_TrackedResponse, note_head)
+        return super().getresponse()
+
+    def close(self) -> None:
+        """Close the connection; one that may still be at work is held."""
+        if self._call is not None and self.sock is not None:
+            self._call.hold()
+        self._call = None
+        super().close()
+
+
+@contextlib.contextmanager
+def tracked(call: UpstreamCall) -> Iterator[None]:
+    """Make `call` the one that requests of this thread belong to."""
+    _current.call = call
+    try:
+        yield
+    finally:
+        _current.call = None
+
+
+def _shut_down(sock: socket.socket, whole: bool) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR if whole else socket.SHUT_WR)
