Add seats for each priority, slots held after a cancellation, and notices

Change: the pieces that the gate and the edge take next: server threads shared by priority, the connection of a cancelled request kept until its upstream has stopped, and notices of crashes for every peer.

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -37,12 +37,15 @@
         Team that sent the request, empty where it named none.
     alone : bool
         Whether no other request may run beside it.
+    fingerprint : str
+        What it has in common with the same request sent again.
     """
 
     rank: str
     deadline_s: float
     team: str = ""
     alone: bool = False
+    fingerprint: str = ""
 
 
 @attrs.frozen
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -152,6 +152,14 @@
     detail: str
 
 
+@attrs.frozen
+class RankWait:
+    """Wait that a gate predicts for a request of one rank that came now."""
+
+    rank: str
+    wait_ms: float
+
+
 @attrs.frozen
 class UpstreamDigest:
     """Load and health of an upstream as its gate reports them.
@@ -164,6 +172,8 @@
         Share of recent requests that failed, 0 to 1.
     weight : float
         Share of its slots that a warming upstream may use, 0 to 1.
+    waits : tuple of RankWait
+        Wait predicted for each rank, by which entries compare gates.
     """
 
     upstream: str
@@ -175,6 +185,7 @@
     latency_ms: float
     failure_share: float
     weight: float
+    waits: tuple[RankWait, ...] = attrs.field(default=(), metadata={"item": RankWait})
 
 
 @attrs.frozen
--- /dev/null
+++ b/chicorychute/services/notices.py
@@ -0,0 +1,67 @@
+"""Tells peers of requests in flight at a crash."""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor, wait
+
+import structlog
+
+from chicorychute.core.messages import MemberStatus, QuarantineNotice
+from chicorychute.services.fleet import FleetService
+from chicorychute.transport.links import LinkError, LinkHub
+
+SENDERS = 16
+TELL_WAIT_S = 0.25  # a peer that is cut off holds the caller's answer no longer
+
+logger = structlog.get_logger()
+
+Address = tuple[str, int]
+
+
+class NoticeService:
+    """Sends notices to every peer at once, and again to some that missed them.
+
+    Parameters
+    ----------
+    hub : callable
+        Returns the hub of peer links, which is built after this service.
+    """
+
+    def __init__(
+        self, fleet: FleetService, hub: Callable[[], LinkHub], rng: random.Random
+    ):
+        self._fleet = fleet
+        self._hub = hub
+        self._rng = rng
+        self._senders = ThreadPoolExecutor(SENDERS, thread_name_prefix="notices")
+
+    def tell(self, notices: tuple[QuarantineNotice, ...]) -> None:
+        """Send notices to every peer, and wait a little until they are sent."""
+        logger.warning("quarantine: an upstream crashed", requests=len(notices))
+        jobs = [
+            self._senders.submit(self._send, address, notices)
+            for address in self._addresses()
+        ]
+        wait(jobs, TELL_WAIT_S)
+
+    def repair(self, notices: tuple[QuarantineNotice, ...]) -> None:
+        """Send notices to one peer, which may have missed them."""
+        addresses = self._addresses()
+        if notices and addresses:
+            self._send(self._rng.choice(addresses), notices)
+
+    def _addresses(self) -> list[Address]:
+        own = self._fleet.own().instance
+        return [
+            (record.host, record.peer_port)
+            for record, status in self._fleet.snapshot()
+            if record.instance != own and status is not MemberStatus.DEAD
+        ]
+
+    def _send(self, address: Address, notices: tuple[QuarantineNotice, ...]) -> None:
+        try:
+            link = self._hub().link_to(address)
+            for notice in notices:
+                link.send(notice)
+        except LinkError as error:
+            logger.debug("quarantine: peer was not told", error=str(error))
--- /dev/null
+++ b/chicorychute/services/seats.py
@@ -0,0 +1,56 @@
+"""Filter that keeps server threads free for every priority."""
+
+import threading
+
+from chicorychute.admission.seats import PrioritySeats
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import Handler, Refused, Reply, Request
+from chicorychute.table.rows import Table
+
+SPARE_PART = 0.125  # of the threads, left to answer refusals at once
+FULL_DETAIL = "this priority holds all the threads that it may have here"
+
+
+class ServerSeats:
+    """Seats on the threads of one server or pool.
+
+    Parameters
+    ----------
+    threads : int
+        Threads that answer requests.
+    """
+
+    def __init__(self, threads: int):
+        self._seats = PrioritySeats(max(1, int(threads * (1 - SPARE_PART))))
+        self._lock = threading.Lock()
+
+    def apply(self, table: Table) -> None:
+        """Take the priorities of a new table."""
+        with self._lock:
+            self._seats.configure({row.priority for row in table.rows})
+
+    def enter(self, priority: int) -> bool:
+        """Take a seat; returns False where the priority may have no more."""
+        with self._lock:
+            return self._seats.enter(priority)
+
+    def leave(self, priority: int) -> None:
+        """Return a seat."""
+        with self._lock:
+            self._seats.leave(priority)
+
+    def filter(self, handler: Handler) -> Handler:
+        """Refuse a request whose priority holds all the threads that it may."""
+
+        def run(request: Request) -> Reply:
+            priority = request.row.priority
+            if request.relayed:
+                return handler(request)
+            if not self.enter(priority):
+                return Refused(Outcome.NOT_RUN, Reason.OVERLOAD, FULL_DETAIL)
+            try:
+                return handler(request)
+            finally:
+                self.leave(priority)
+
+        return run
--- /dev/null
+++ b/chicorychute/services/slots.py
@@ -0,0 +1,184 @@
+"""Slots of one local upstream: who may run, who runs, and what is still held."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chicorychute.admission.limit import AdaptiveLimit
+from chicorychute.admission.quarantine import Quarantine, Ruling
+from chicorychute.admission.queue import (
+    Decision,
+    RankPolicy,
+    Refused,
+    Ticket,
+    UpstreamQueue,
+)
+from chicorychute.admission.rate import TeamRates
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import RankWait
+from chicorychute.core.outcomes import Reason
+from chicorychute.services.held import HeldSlots
+from chicorychute.table.rows import Row
+from chicorychute.transport.calls import UpstreamCall
+
+REASON_BY_RULING = {
+    Ruling.REFUSED: Reason.QUARANTINED,
+    Ruling.ELSEWHERE: Reason.OVERLOAD,
+}
+
+
+@attrs.frozen
+class _Run:
+    call: UpstreamCall
+    number: int
+    deadline_s: float
+
+
+class UpstreamSlots:
+    """Decides with the queue, the limits and the quarantine; not thread-safe.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Shared by the upstreams of the daemon.
+    """
+
+    def __init__(self, upstream: str, clock: Clock, quarantine: Quarantine):
+        self._upstream = upstream
+        self._clock = clock
+        self._quarantine = quarantine
+        self._queue = UpstreamQueue(0, (), clock)
+        self._limit = AdaptiveLimit(0, clock)
+        self._rates = TeamRates(clock)
+        self._held = HeldSlots(upstream, clock)
+        self._rate_by_rank: dict[str, float] = {}
+        self._run_by_ticket: dict[Ticket, _Run] = {}
+
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream may run at a time now."""
+        return self._queue.limit
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that hold a slot."""
+        return self._queue.in_flight
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting for a slot."""
+        return self._queue.queued
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request runs or waits here; held slots keep nobody waiting."""
+        return self.in_flight - len(self._held) + self.queued > 0
+
+    def configure(self, rows: Iterable[Row]) -> None:
+        """Take the cells of a new table."""
+        rows = tuple(rows)
+        slots = max((row.slots for row in rows), default=0)
+        self._rate_by_rank = {row.rank: row.team_rate for row in rows}
+        self._limit.configure(slots)
+        self._queue.configure(slots, [_policy(row, slots) for row in rows])
+        self._queue.limit = self._limit.slots
+
+    def waits(self) -> tuple[RankWait, ...]:
+        """Return the wait predicted for each rank."""
+        return tuple(
+            RankWait(rank, round(self._queue.wait_s(rank) * 1000, 1))
+            for rank in self._rate_by_rank
+        )
+
+    def ticket(
+        self, rank: str, deadline_s: float, team: str, fingerprint: str
+    ) -> Ticket:
+        """Return the ticket of a request, alone if it is suspected of a crash."""
+        alone = self._quarantine.rule(fingerprint) is Ruling.ALONE
+        return Ticket(rank, deadline_s, team, alone, fingerprint)
+
+    def submit(self, ticket: Ticket) -> Decision:
+        """Grant a slot, queue the request or refuse it."""
+        ruling = self._quarantine.rule(ticket.fingerprint)
+        if ruling in REASON_BY_RULING:
+            return Refused(ticket, REASON_BY_RULING[ruling])
+        rate = self._rate_by_rank.get(ticket.rank, 0.0)
+        if not self._rates.take(ticket.rank, ticket.team, rate):
+            return Refused(ticket, Reason.RATE)
+        return self._queue.submit(ticket)
+
+    def cancel(self, ticket: Ticket) -> bool:
+        """Remove a waiting request; returns False if it no longer waits."""
+        return self._queue.cancel(ticket)
+
+    def advance(self) -> list[Decision]:
+        """Return what follows from the time: late work and freed slots."""
+        now_s = self._clock.monotonic()
+        for run in self._run_by_ticket.values():
+            if now_s >= run.deadline_s and not run.call.cancelled:
+                run.call.cancel()
+        decisions: list[Decision] = []
+        for ticket in self._held.take_ended():
+            decisions += self._queue.release(ticket)
+        return decisions + self._queue.advance()
+
+    def start(self, ticket: Ticket, call: UpstreamCall) -> Reason | None:
+        """Note that a granted request is about to be sent.
+
+        Returns
+        -------
+        Reason or None
+            Why it may not be sent any more; `drop` must then return its slot.
+        """
+        if self._clock.monotonic() >= ticket.deadline_s:
+            return Reason.DEADLINE
+        if call.cancelled:
+            return Reason.CANCELLED
+        ruling = self._quarantine.rule(ticket.fingerprint)
+        if ruling is Ruling.ALONE and not ticket.alone:
+            return Reason.OVERLOAD  # became a suspect while it waited
+        if ruling in REASON_BY_RULING:
+            return REASON_BY_RULING[ruling]
+        number = self._quarantine.started(self._upstream, ticket.fingerprint)
+        self._run_by_ticket[ticket] = _Run(call, number, ticket.deadline_s)
+        return None
+
+    def drop(self, ticket: Ticket) -> list[Decision]:
+        """Return the slot of a granted request that was not sent."""
+        return self._queue.release(ticket)
+
+    def crashed(self, ticket: Ticket) -> tuple:
+        """Note that the upstream is gone; returns the notices for every peer."""
+        self._limit.restarted()
+        self._queue.limit = self._limit.slots
+        number = self._run_by_ticket[ticket].number
+        return self._quarantine.crashed(self._upstream, number)
+
+    def refused(self) -> None:
+        """Note that the upstream takes no connections."""
+        self._limit.restarted()
+
+    def answered(self, ticket: Ticket, service_s: float) -> None:
+        """Note a good answer."""
+        self._limit.answered(ticket.rank, service_s)
+
+    def shed(self) -> None:
+        """Note that the upstream turned a request away."""
+        self._limit.shed()
+
+    def finish(self, ticket: Ticket, answered: bool) -> list[Decision]:
+        """Note the end of a sent request; its slot is held while it may still run."""
+        run = self._run_by_ticket.pop(ticket)
+        run.call.detach()
+        self._quarantine.ended(self._upstream, run.number, answered)
+        self._queue.limit = self._limit.slots
+        held = run.call.held
+        if held is not None:
+            self._held.add(ticket, held)
+            return self.advance()
+        return self._queue.release(ticket)
+
+
+def _policy(row: Row, slots: int) -> RankPolicy:
+    cap = row.slots if row.slots < slots else 0
+    return RankPolicy(row.rank, row.priority, row.share, cap)
--- a/chicorychute/transport/calls.py
+++ b/chicorychute/transport/calls.py
@@ -13,9 +13,13 @@
 import threading
 from collections.abc import Callable, Iterator
 from http.client import HTTPResponse
+from urllib.parse import urlsplit
 
 from urllib3.connection import HTTPConnection
 
+CONNECT_TIMEOUT_S = 0.25
+DROP_WAIT_S = 0.05  # a process that ends resets its connections sooner
+
 _current = threading.local()
 
 
@@ -145,6 +149,21 @@
         _current.call = None
 
 
+def is_listening(url: str) -> bool:
+    """Return whether a server takes connections, and does not drop them at once."""
+    parsed = urlsplit(url)
+    try:
+        with socket.create_connection(
+            (parsed.hostname, parsed.port or 80), timeout=CONNECT_TIMEOUT_S
+        ) as sock:
+            sock.settimeout(DROP_WAIT_S)
+            return bool(sock.recv(1))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+
+
 def _shut_down(sock: socket.socket, whole: bool) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR if whole else socket.SHUT_WR)
