Cancel at the upstream, hold its slot until it has stopped, and quarantine

Cause: a Cancel reached only waiting requests; a running one kept its connection and its slot. A request whose time was up gave its slot back while the upstream still ran it, so one more was sent. The limit was one number, team_rate was not read, and no part took a QuarantineNotice. Relayed requests held the threads that granted ones run on, a queue without ranks. Ruled out: giving the slot back at the deadline (more than slots run at once); holding it for ever (an upstream that ignores its callers loses its slots one by one). Change: a cancelled or late request closes the sending side of its connection; the receiving side shows when the upstream has stopped, and the slot is held until then, 60 s at most. The gate takes the adaptive limit, the team rates and the quarantine. Relays have threads and seats of their own; the edge shares its threads by priority.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from chicorychute.admission.quarantine import Quarantine
 from chicorychute.conf.settings import Settings
 from chicorychute.core.messages import (
     PROTOCOL_VERSION,
@@ -21,6 +22,7 @@
     MemberStatus,
     Message,
     ProbeRequest,
+    QuarantineNotice,
     Refusal,
     Relay,
     TableAnnounce,
@@ -42,7 +44,9 @@
 from chicorychute.services.exchanges import Exchanges
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
+from chicorychute.services.notices import NoticeService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.seats import ServerSeats
 from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
 from chicorychute.services.tables import TableService
@@ -55,6 +59,7 @@
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
+NOTICE_REPAIR_S = 2.0
 PLATFORM_TICK_S = 0.5
 
 logger = structlog.get_logger()
@@ -117,8 +122,14 @@
             self._rng,
             self._on_listed_leaving,
         )
+        self._notices = NoticeService(self._fleet, hub, self._rng)
         self._gate = GateService(
-            self._settings.upstreams, clock, tracing, self._fleet.peer_digests
+            self._settings.upstreams,
+            clock,
+            tracing,
+            self._fleet.peer_digests,
+            Quarantine(instance, incarnation, clock),
+            self._notices.tell,
         )
         self._tables = TableService(
             TableVersions(clock),
@@ -139,18 +150,20 @@
         )
         ledger = OrderLedger(instance, incarnation, clock)
         home = OrderHome(ledger, entry.relay)
+        self._seats = ServerSeats(get("edge", "threads"))
         handle = chain(
             [
                 leaving.count,
                 filters.trace(tracing, "entry"),
                 filters.route(self._tables.routes),
+                self._seats.filter,
                 leaving.refuse,
                 filters.deadline(clock),
                 home.filter,
             ],
             entry.handle,
         )
-        self._peers = PeerService(self._gate, clock, handle)
+        self._peers = PeerService(self._gate, clock, handle, self._tables.table)
         application = EdgeApplication(
             handle,
             home.home,
@@ -177,6 +190,7 @@
         tickers = [
             Ticker("gate", QUEUE_TICK_S, self._gate.tick),
             Ticker("gossip", gossip_s, self._gossip),
+            Ticker("notices", NOTICE_REPAIR_S, self._repair_notices),
         ]
         if platform is not None:
             tickers.append(Ticker("list", PLATFORM_TICK_S, self._fleet.read_list))
@@ -228,12 +242,17 @@
         self._fleet.gossip()
         self._tables.repair()
 
+    def _repair_notices(self) -> None:
+        self._notices.repair(self._gate.notices())
+
     def _watch(self) -> None:
         if not self._stop_asked.is_set():
             self._tables.watch()
 
     def _on_table(self, table: Table) -> None:
         self._gate.apply(table)
+        self._seats.apply(table)
+        self._peers.apply(table)
 
     def _why_not_ready(self) -> str:
         if self._stop_asked.is_set():
@@ -262,6 +281,8 @@
                 self._tables.on_request(link, message)
             case TableUpdate():
                 self._tables.on_update(link, message)
+            case QuarantineNotice():
+                self._gate.on_notice(message)
 
     def _on_closed(self, link: Link) -> None:
         self._exchanges.on_closed(link)
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -7,6 +7,7 @@
 
 from chicorychute.core.messages import Headers
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.cancel import CancelScope
 from chicorychute.table.rows import Row
 
 
@@ -65,6 +66,8 @@
         Sends to gates so far, counted across hops.
     relayed : bool
         Whether a peer passed the request on.
+    scope : CancelScope
+        Stops the request where its caller goes away.
     """
 
     method: str
@@ -80,6 +83,7 @@
     row: Row | None = None
     attempt: int = 0
     relayed: bool = False
+    scope: CancelScope = attrs.field(factory=CancelScope)
 
     @property
     def path(self) -> str:
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from chicorychute.admission.queue import Decision, Granted, Ticket
+from chicorychute.admission.queue import Decision, Granted
 from chicorychute.admission.queue import Refused as QueueRefused
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import Forward, Relay, Work
@@ -20,9 +20,13 @@
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.table.rows import Repeat
+from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import LinkError, LinkHub
 
 MAX_ATTEMPTS = 3
+FINAL_REASONS = frozenset(
+    {Reason.DEADLINE, Reason.RATE, Reason.QUARANTINED, Reason.CANCELLED}
+)
 SERVER_ERROR = 500
 
 
@@ -130,14 +134,14 @@
 
     def _run_here(self, request: Request, upstream: str) -> Reply:
         decisions: queue.SimpleQueue[Decision] = queue.SimpleQueue()
-        ticket = Ticket(request.row.rank, request.deadline_s)
+        work = self._work(request)
+        call = UpstreamCall()
+        ticket = self._gate.ticket(upstream, work, request.body, request.deadline_s)
         self._gate.submit(upstream, ticket, decisions.put)
-        decision = decisions.get()
-        match decision:
+        request.scope.bind(lambda: self._gate.cancel(upstream, ticket, call))
+        match decisions.get():
             case Granted():
-                return self._gate.run(
-                    upstream, self._work(request), request.body, request.deadline_s
-                )
+                return self._gate.run(upstream, ticket, work, request.body, call)
             case QueueRefused(_, reason):
                 return Refused(Outcome.NOT_RUN, reason)
 
@@ -191,6 +195,6 @@
         case Answer(status):
             return repeat is Repeat.IDEMPOTENT and status >= SERVER_ERROR
         case Refused(Outcome.NOT_RUN, reason):
-            return reason is not Reason.DEADLINE
+            return reason not in FINAL_REASONS
         case _:
             return repeat is Repeat.IDEMPOTENT
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -2,13 +2,13 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 
 from chicorychute.admission.queue import (
     Decision,
     Granted,
-    Ticket,
 )
 from chicorychute.admission.queue import (
     Refused as QueueRefused,
@@ -24,19 +24,27 @@
     Relay,
 )
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.cancel import CancelScope
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply, Request
 from chicorychute.services.exchanges import CHUNK_BYTES
 from chicorychute.services.gate import GateService
+from chicorychute.services.seats import FULL_DETAIL, ServerSeats
+from chicorychute.table.rows import Table
+from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import Link, LinkError
 
+RELAY_THREADS = 256
+
 Call = Forward | Relay
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Incoming:
     call: Call
     deadline_s: float
     body: bytearray
+    started: bool = False
+    scope: CancelScope = attrs.field(factory=CancelScope)
 
 
 class PeerService:
@@ -46,88 +54,124 @@
     ----------
     handle : callable
         Handles a relayed request as if a caller had sent it here.
+    table : callable
+        Returns the table in force.
     """
 
     def __init__(
-        self, gate: GateService, clock: Clock, handle: Callable[[Request], Reply]
+        self,
+        gate: GateService,
+        clock: Clock,
+        handle: Callable[[Request], Reply],
+        table: Callable[[], Table | None],
     ):
         self._gate = gate
         self._clock = clock
         self._handle = handle
         self._lock = threading.Lock()
+        self._table = table
         self._incoming_by_id: dict[tuple[Link, int], _Incoming] = {}
-        self._ticket_by_id: dict[tuple[Link, int], tuple[str, Ticket]] = {}
+        self._relays = ThreadPoolExecutor(RELAY_THREADS, thread_name_prefix="relay")
+        self._seats = ServerSeats(RELAY_THREADS)
 
     def on_call(self, link: Link, call: Call) -> None:
         """Start a request, or keep it until its body is whole."""
         now_s = self._clock.monotonic()
         delay_s = link.clock.delay_s(call.sent_s, now_s)
         deadline_s = now_s - delay_s + call.work.remaining_ms / 1000
-        incoming = _Incoming(call, deadline_s, bytearray(call.body))
-        if call.more:
-            with self._lock:
-                self._incoming_by_id[link, call.id] = incoming
-            return
-        self._start(link, incoming)
+        incoming = _Incoming(call, deadline_s, bytearray(call.body), not call.more)
+        with self._lock:
+            self._incoming_by_id[link, call.id] = incoming
+        if incoming.started:
+            self._start(link, incoming)
 
     def on_body(self, link: Link, chunk: BodyChunk) -> None:
         """Add a chunk; the last one starts the request."""
         with self._lock:
             incoming = self._incoming_by_id.get((link, chunk.id))
-            if incoming is None:
+            if incoming is None or incoming.started:
                 return
             incoming.body += chunk.data
-            if chunk.last:
-                del self._incoming_by_id[link, chunk.id]
+            incoming.started = chunk.last
         if chunk.last:
             self._start(link, incoming)
 
     def on_cancel(self, link: Link, cancel: Cancel) -> None:
-        """Withdraw a request that still waits for a slot."""
+        """Withdraw a request: refuse it if it waits, else cut it at its upstream."""
         with self._lock:
-            self._incoming_by_id.pop((link, cancel.id), None)
-            waiting = self._ticket_by_id.pop((link, cancel.id), None)
-        if waiting is not None and self._gate.cancel(*waiting):
-            _send(link, Refusal(cancel.id, Outcome.NOT_RUN, Reason.CANCELLED, ""))
+            incoming = self._incoming_by_id.get((link, cancel.id))
+            if incoming is None:
+                return
+            if not incoming.started:
+                del self._incoming_by_id[link, cancel.id]
+        incoming.scope.cancel()
 
     def on_closed(self, link: Link) -> None:
-        """Withdraw every waiting request of a lost link."""
+        """Withdraw every request of a lost link."""
         with self._lock:
-            ids = [id for owner, id in self._ticket_by_id if owner is link]
-            for key in [k for k in self._incoming_by_id if k[0] is link]:
-                del self._incoming_by_id[key]
+            ids = [id for owner, id in self._incoming_by_id if owner is link]
         for id in ids:
             self.on_cancel(link, Cancel(id))
 
+    def apply(self, table: Table) -> None:
+        """Take the priorities of a new table."""
+        self._seats.apply(table)
+
     def _start(self, link: Link, incoming: _Incoming) -> None:
         match incoming.call:
             case Forward():
                 self._submit(link, incoming)
             case Relay():
-                self._gate.in_pool(lambda: self._relay(link, incoming))
+                self._submit_relay(link, incoming)
 
     def _submit(self, link: Link, incoming: _Incoming) -> None:
         call = incoming.call
+        body = bytes(incoming.body)
+        upstream_call = UpstreamCall()
+        ticket = self._gate.ticket(call.upstream, call.work, body, incoming.deadline_s)
+
+        def run() -> None:
+            reply = self._gate.run(
+                call.upstream, ticket, call.work, body, upstream_call
+            )
+            self._finish(link, incoming, reply)
 
         def start(decision: Decision) -> None:
-            with self._lock:
-                self._ticket_by_id.pop((link, call.id), None)
             match decision:
                 case Granted():
-                    self._gate.in_pool(lambda: self._run(link, incoming))
+                    self._gate.in_pool(run)
                 case QueueRefused(_, reason):
-                    _send(link, Refusal(call.id, Outcome.NOT_RUN, reason, ""))
+                    self._finish(link, incoming, Refused(Outcome.NOT_RUN, reason))
 
-        ticket = Ticket(call.work.rank, incoming.deadline_s)
-        with self._lock:
-            self._ticket_by_id[link, call.id] = (call.upstream, ticket)
         self._gate.submit(call.upstream, ticket, start)
+        incoming.scope.bind(
+            lambda: self._gate.cancel(call.upstream, ticket, upstream_call)
+        )
 
-    def _run(self, link: Link, incoming: _Incoming) -> None:
-        call = incoming.call
-        body = bytes(incoming.body)
-        reply = self._gate.run(call.upstream, call.work, body, incoming.deadline_s)
-        send_reply(link, call.id, reply)
+    def _submit_relay(self, link: Link, incoming: _Incoming) -> None:
+        work = incoming.call.work
+        table = self._table()
+        row = None if table is None else table.by_rank.get((work.service, work.rank))
+        priority = 0 if row is None else row.priority
+        if not self._seats.enter(priority):
+            refused = Refused(Outcome.NOT_RUN, Reason.OVERLOAD, FULL_DETAIL)
+            self._finish(link, incoming, refused)
+            return
+
+        def run() -> None:
+            try:
+                self._relay(link, incoming)
+            finally:
+                self._seats.leave(priority)
+
+        self._relays.submit(run)
+
+    def _finish(self, link: Link, incoming: _Incoming, reply: Reply) -> None:
+        try:
+            send_reply(link, incoming.call.id, reply)
+        finally:
+            with self._lock:
+                self._incoming_by_id.pop((link, incoming.call.id), None)
 
     def _relay(self, link: Link, incoming: _Incoming) -> None:
         call = incoming.call
@@ -145,8 +189,9 @@
             asked_ms=(incoming.deadline_s - now_s) * 1000,
             attempt=work.attempt,
             relayed=True,
+            scope=incoming.scope,
         )
-        send_reply(link, call.id, self._handle(request))
+        self._finish(link, incoming, self._handle(request))
 
 
 def _send(link: Link, message: object) -> None:
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -7,6 +7,7 @@
 
 from chicorychute.core.messages import Headers, Work
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.transport.calls import TrackedConnection
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 64 << 10
@@ -70,6 +71,7 @@
 
     def __init__(self, url: str, connections: int):
         self._pool = urllib3.connection_from_url(url, maxsize=connections, block=False)
+        self._pool.ConnectionCls = TrackedConnection
 
     def send(self, work: Work, body: bytes, timeout_s: float) -> UpstreamAnswer:
         """Send a request and return its answer once the head has come.
--- /dev/null
+++ b/tests/services/test_gate.py
@@ -0,0 +1,264 @@
+"""The gate in front of an upstream whose connections the test holds in its hand."""
+
+import queue
+import socket
+import threading
+import time
+
+import pytest
+
+from chicorychute.admission.quarantine import Quarantine
+from chicorychute.admission.queue import Granted, Refused
+from chicorychute.conf.settings import UpstreamSettings
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import Work
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.services.gate import GateService
+from chicorychute.services.held import HOLD_LIMIT_S
+from chicorychute.table.parse import parse_table
+from chicorychute.telemetry.tracing import Tracing
+from chicorychute.transport.calls import UpstreamCall
+from standins.fleet import TABLE_HEADER
+
+WAIT_S = 20.0  # generous: only a fault lets it pass
+ANSWER = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+class Upstream:
+    """Listens, and hands every connection with its request to the test."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.requests = queue.Queue()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.listener.getsockname()[1]}"
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._read, args=(sock,), daemon=True).start()
+
+    def _read(self, sock):
+        sock.settimeout(WAIT_S)
+        if sock.recv(1 << 16):
+            self.requests.put(sock)
+
+    def next(self):
+        return self.requests.get(timeout=WAIT_S)
+
+    def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+
+class Run:
+    """One request at the gate, on a thread of its own."""
+
+    def __init__(self, gate, clock, name="a", seconds=60.0, rank="order", team=""):
+        self.gate = gate
+        self.work = Work("GET", f"/{name}", (), "s", rank, team, "", "", 1, 0.0)
+        self.call = UpstreamCall()
+        self.replies = queue.Queue()
+        self.ticket = gate.ticket("u", self.work, b"", clock.monotonic() + seconds)
+        gate.submit("u", self.ticket, self._start)
+
+    def _start(self, decision):
+        match decision:
+            case Granted():
+                threading.Thread(target=self._run, daemon=True).start()
+            case Refused():
+                self.replies.put(decision)
+
+    def _run(self):
+        reply = self.gate.run("u", self.ticket, self.work, b"", self.call)
+        if hasattr(reply, "chunks"):
+            list(reply.chunks)
+        self.replies.put(reply)
+
+    def cancel(self):
+        self.gate.cancel("u", self.ticket, self.call)
+
+    def reply(self):
+        return self.replies.get(timeout=WAIT_S)
+
+
+def tick_until(gate, holds):
+    end_s = time.monotonic() + WAIT_S
+    while not holds() and time.monotonic() < end_s:
+        gate.tick()
+    assert holds()
+
+
+def make_table(slots=1, team_rate=0):
+    rows = f"s,order,GET /*,1,0.5,200,60000,idempotent,0,{slots},0.5,1,{team_rate},0\n"
+    return parse_table(1, f"{TABLE_HEADER}\n{rows}").ok_value
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def upstream():
+    upstream = Upstream()
+    yield upstream
+    upstream.listener.close()
+
+
+@pytest.fixture
+def told():
+    return []
+
+
+@pytest.fixture
+def gate(clock, upstream, told):
+    gate = GateService(
+        [UpstreamSettings("u", "s", upstream.url)],
+        clock,
+        Tracing("i"),
+        lambda service: [],
+        Quarantine("i", 1, clock),
+        told.extend,
+    )
+    gate.apply(make_table())
+    return gate
+
+
+def test_cancel_of_a_running_request_closes_its_connection(gate, clock, upstream):
+    run = Run(gate, clock)
+    sock = upstream.next()
+    run.cancel()
+    assert sock.recv(1) == b""
+
+
+def test_slot_of_a_cancelled_request_is_held_until_the_upstream_ends_it(
+    gate, clock, upstream
+):
+    first, second = Run(gate, clock), Run(gate, clock, "b")
+    sock = upstream.next()
+    first.cancel()
+    gate.tick()
+    assert gate.digests()[0].queued == 1
+    sock.close()
+    assert first.reply().reason is Reason.CANCELLED
+    gate.tick()
+    upstream.next().sendall(ANSWER)
+    assert second.reply().status == 200
+
+
+def test_slot_of_a_request_out_of_time_is_held_until_the_upstream_ends_it(
+    gate, clock, upstream
+):
+    late, waiting = Run(gate, clock, seconds=0.2), Run(gate, clock, "b")
+    sock = upstream.next()
+    refused = late.reply()
+    assert (refused.outcome, refused.reason) == (Outcome.UNKNOWN, Reason.DEADLINE)
+    assert sock.recv(1) == b""
+    gate.tick()
+    digest = gate.digests()[0]
+    assert (digest.in_flight, digest.queued) == (1, 1)
+    sock.sendall(ANSWER)
+    tick_until(gate, lambda: not gate.digests()[0].queued)
+    upstream.next().sendall(ANSWER)
+    assert waiting.reply().status == 200
+
+
+def test_slot_is_free_again_where_the_upstream_ignores_it_for_long(
+    gate, clock, upstream
+):
+    late = Run(gate, clock, seconds=0.2)
+    upstream.next()
+    late.reply()
+    clock.advance(HOLD_LIMIT_S)
+    gate.tick()
+    assert gate.digests()[0].in_flight == 0
+
+
+def test_waiting_request_that_is_cancelled_is_not_run(gate, clock, upstream):
+    first, second = Run(gate, clock), Run(gate, clock, "b")
+    second.cancel()
+    assert second.reply().reason is Reason.CANCELLED
+    upstream.next().sendall(ANSWER)
+    assert first.reply().status == 200
+    assert gate.idle()
+    assert upstream.requests.empty()
+
+
+def test_request_cancelled_between_grant_and_send_is_not_run(gate, clock, upstream):
+    call = UpstreamCall()
+    call.cancel()
+    work = Work("GET", "/a", (), "s", "order", "", "", "", 1, 0.0)
+    ticket = gate.ticket("u", work, b"", 60.0)
+    gate.submit("u", ticket, lambda decision: None)
+    reply = gate.run("u", ticket, work, b"", call)
+    assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, Reason.CANCELLED)
+    assert gate.idle()
+
+
+def test_request_woken_past_its_deadline_is_not_run(gate, clock, upstream):
+    work = Work("GET", "/a", (), "s", "order", "", "", "", 1, 0.0)
+    ticket = gate.ticket("u", work, b"", 60.0)
+    gate.submit("u", ticket, lambda decision: None)
+    clock.advance(60.0)
+    reply = gate.run("u", ticket, work, b"", UpstreamCall())
+    assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, Reason.DEADLINE)
+    assert gate.idle()
+
+
+def test_crash_tells_the_fleet_and_its_suspect_runs_alone(gate, clock, upstream, told):
+    run = Run(gate, clock)
+    sock = upstream.next()
+    upstream.stop()
+    sock.close()
+    assert run.reply().reason is Reason.UPSTREAM_LOST
+    assert [(notice.upstream, notice.sole) for notice in told] == [("u", True)]
+    assert gate.ticket("u", run.work, b"", 60.0).alone
+
+
+def test_connection_lost_while_the_upstream_lives_is_no_crash(
+    gate, clock, upstream, told
+):
+    run = Run(gate, clock)
+    upstream.next().close()
+    assert run.reply().reason is Reason.UPSTREAM_LOST
+    assert told == []
+    assert not gate.ticket("u", run.work, b"", 60.0).alone
+
+
+def test_notices_of_two_crashes_refuse_the_request_here(gate, clock):
+    work = Run(gate, clock).work
+    peers = [Quarantine(f"p{n}", 1, clock) for n in range(2)]
+    mark = gate.ticket("u", work, b"", 60.0).fingerprint
+    for peer in peers:
+        for notice in peer.crashed("u", peer.started("u", mark)):
+            gate.on_notice(notice)
+    refused = Run(gate, clock).reply()
+    assert refused.reason is Reason.QUARANTINED
+
+
+def test_shedding_upstream_gets_fewer_requests_at_a_time(gate, clock, upstream):
+    gate.apply(make_table(slots=4))
+    for _ in range(6):
+        clock.advance(1.0)
+        run = Run(gate, clock)
+        upstream.next().sendall(SHED)
+        run.reply()
+    assert gate.digests()[0].slots == 1
+
+
+def test_team_over_its_rate_is_not_run_while_another_is(gate, clock, upstream):
+    gate.apply(make_table(slots=4, team_rate=1))
+    runs = [Run(gate, clock, team="pokhara") for _ in range(2)]
+    assert runs[1].reply().reason is Reason.RATE
+    other = Run(gate, clock, team="arequipa")
+    for _ in range(2):
+        upstream.next().sendall(ANSWER)
+    assert {runs[0].reply().status, other.reply().status} == {200}
