Show that urgent calls run by rank at a flooded edge

Cause: with 32 server threads a flood of 320 connections held every thread, and urgent calls waited in the server's own queue, first come, first served. The fleet of the tests takes the number of edge threads.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -81,6 +81,8 @@
         Service time of the upstreams.
     extra_ini : str
         Further settings for every daemon.
+    edge_threads : int
+        Threads with which each daemon answers callers.
     """
 
     def __init__(
@@ -89,9 +91,11 @@
         table: str,
         service_ms: float = 10.0,
         extra_ini: str = "",
+        edge_threads: int = 360,
     ):
         self._service_ms = service_ms
         self._extra_ini = extra_ini
+        self._edge_threads = edge_threads
         self._directory = tempfile.TemporaryDirectory(prefix="chute-fleet-")
         self.path = Path(self._directory.name)
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
@@ -286,6 +290,7 @@
 region = {node.region}
 [edge]
 port = {node.edge_port}
+threads = {self._edge_threads}
 [peer]
 port = {node.peer_port}
 [operator]
