Lose at most two upstreams to one request in real processes

Cause: the first request whose connection broke told the fleet of the crash; the others of the same crash returned at once, and their entries sent them again before the notice came. The culprit then ran beside others a second time, so that neither crash named it. A request whose connection broke a moment before the crash was seen was not among its suspects. Ruled out: the sole cause of a crash found by intersection (convicts a request that was in flight at the crashes of two others). Change: every request of a crash waits until the fleet was told; connections that broke up to half a second before count as in flight.

--- a/chicorychute/admission/quarantine.py
+++ b/chicorychute/admission/quarantine.py
@@ -8,7 +8,7 @@
 import enum
 import hashlib
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 
@@ -18,6 +18,8 @@
 QUARANTINE_S = 600.0
 SUSPECT_LIMIT = 1000
 CLEARED_LIMIT = 1000
+LOST_LIMIT = 64
+LOST_WITH_CRASH_S = 0.5  # connections of one crash break within it
 CRASHES_TO_REFUSE = 2
 CRASHES_KEPT = 8  # of one request, enough to convict it
 FINGERPRINT_BYTES = 16
@@ -50,6 +52,12 @@
     sole: bool
 
 
+@attrs.frozen
+class _Lost:
+    fingerprint: str
+    at_s: float
+
+
 @attrs.define
 class _Suspect:
     expires_s: float
@@ -96,6 +104,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._running_by_upstream: dict[str, dict[int, str]] = {}
+        self._lost_by_upstream: dict[str, deque[_Lost]] = {}
         self._suspect_by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
         self._cleared: OrderedDict[tuple[str, str], None] = OrderedDict()
 
@@ -125,8 +134,13 @@
         """Note the end of a request; a suspect that was answered is cleared."""
         running = self._running_by_upstream.get(upstream, {})
         ended = running.pop(number, None)
-        if answered and ended is not None:
+        if ended is None:
+            return
+        if answered:
             self._clear(ended)
+            return
+        lost = self._lost_by_upstream.setdefault(upstream, deque(maxlen=LOST_LIMIT))
+        lost.append(_Lost(ended, self._clock.monotonic()))
 
     def crashed(self, upstream: str, number: int) -> tuple[QuarantineNotice, ...]:
         """Note that the upstream crashed under a request.
@@ -139,14 +153,21 @@
         running = self._running_by_upstream.get(upstream, {})
         if number not in running:
             return ()
-        in_flight = sorted(set(running.values()))
+        in_flight = sorted({*running.values(), *self._lost_with_it(upstream)})
         running.clear()
+        self._lost_by_upstream.pop(upstream, None)
         id = f"{self._prefix}/{next(self._numbers)}"
         crash = Crash(id, self._instance, upstream, sole=len(in_flight) == 1)
         for suspect in in_flight:
             self._record(suspect, crash, QUARANTINE_S)
         return tuple(_notice(suspect, crash, QUARANTINE_S) for suspect in in_flight)
 
+    def _lost_with_it(self, upstream: str) -> set[str]:
+        """Return requests whose connections broke just before the crash was seen."""
+        since_s = self._clock.monotonic() - LOST_WITH_CRASH_S
+        lost = self._lost_by_upstream.get(upstream, ())
+        return {entry.fingerprint for entry in lost if entry.at_s >= since_s}
+
     def on_notice(self, notice: QuarantineNotice) -> None:
         """Take a crash seen at a peer."""
         if (notice.fingerprint, notice.crash) in self._cleared:
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -50,6 +50,7 @@
     slots: UpstreamSlots
     judge: UpstreamJudge
     client: UpstreamClient
+    telling: threading.Lock = attrs.field(factory=threading.Lock)
 
 
 class GateService:
@@ -237,7 +238,10 @@
                 upstream.slots.refused()
             return
         lost = failure.reason is Reason.UPSTREAM_LOST and not call.cancelled
-        if lost and not is_listening(upstream.settings.url):
+        if not lost or is_listening(upstream.settings.url):
+            return
+        # Every request of one crash waits until the first has told the fleet.
+        with upstream.telling:
             with self._lock:
                 notices = upstream.slots.crashed(ticket)
             if notices:
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -70,6 +70,14 @@
     assert [gate.rule("a") for gate in fleet.gates] == [Ruling.FREE] * 3
 
 
+def test_request_whose_connection_broke_before_the_crash_was_seen_is_a_suspect():
+    gate = Quarantine("i0", 1, ManualClock())
+    first, second = gate.started("u", "x"), gate.started("u", "a")
+    gate.ended("u", first, answered=False)
+    notices = gate.crashed("u", second)
+    assert {notice.fingerprint for notice in notices} == {"x", "a"}
+
+
 def test_suspect_that_is_answered_is_cleared_and_stays_so():
     fleet = FakeFleet(2, {"x"})
     fleet.start(0, "x")
