--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of decisions on recorded arrivals."""
+"""Standing measurements that start processes or run long."""
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -3,7 +3,6 @@
 import statistics
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 
@@ -28,6 +27,7 @@
 from chicorychute.health.judge import Observation, Result, UpstreamJudge
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
 from chicorychute.services.slots import UpstreamSlots
+from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.calls import UpstreamCall, is_listening, tracked
@@ -82,7 +82,7 @@
         self._tell = tell
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
-        self._pool = ThreadPoolExecutor(POOL_THREADS, thread_name_prefix="gate")
+        self._pool = WorkerPool("gate", POOL_THREADS)
         self._upstream_by_id = {
             settings.id: _Upstream(
                 settings,
@@ -116,7 +116,7 @@
                     upstream.slots.queued,
                     upstream.judge.latency_s * 1000,
                     upstream.judge.failure_share,
-                    1.0,
+                    upstream.slots.weight,
                     waits=upstream.slots.waits(),
                 )
                 for upstream in self._upstream_by_id.values()
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -2,7 +2,6 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 
@@ -29,6 +28,7 @@
 from chicorychute.services.exchanges import CHUNK_BYTES
 from chicorychute.services.gate import GateService
 from chicorychute.services.seats import FULL_DETAIL, ServerSeats
+from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Table
 from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import Link, LinkError
@@ -71,7 +71,7 @@
         self._lock = threading.Lock()
         self._table = table
         self._incoming_by_id: dict[tuple[Link, int], _Incoming] = {}
-        self._relays = ThreadPoolExecutor(RELAY_THREADS, thread_name_prefix="relay")
+        self._relays = WorkerPool("relay", RELAY_THREADS)
         self._seats = ServerSeats(RELAY_THREADS)
 
     def on_call(self, link: Link, call: Call) -> None:
--- a/chicorychute/services/slots.py
+++ b/chicorychute/services/slots.py
@@ -56,8 +56,13 @@
 
     @property
     def slots(self) -> int:
-        """Requests that the upstream may run at a time now."""
-        return self._queue.limit
+        """Requests that the table lets the upstream run at a time."""
+        return self._queue.slots
+
+    @property
+    def weight(self) -> float:
+        """Part of the slots that the limit leaves in use."""
+        return self._queue.limit / max(self._queue.slots, 1)
 
     @property
     def in_flight(self) -> int:
--- a/chicorychute/services/status.py
+++ b/chicorychute/services/status.py
@@ -1,36 +1,72 @@
 """Status of a daemon and its view, as JSON values."""
 
+from collections.abc import Callable
+
 from chicorychute.core.messages import MemberRecord, MemberStatus, UpstreamDigest
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.services.tables import TableService
+from chicorychute.telemetry.instruments import Instruments
+from chicorychute.telemetry.requests import ServiceLevel
 
 
 class StatusReport:
-    """Builds what ``/status`` answers."""
+    """Builds what ``/status`` answers.
+
+    Parameters
+    ----------
+    why_not_ready : callable
+        Returns an empty text if the daemon serves, else why it does not.
+    """
 
-    def __init__(self, fleet: FleetService, tables: TableService, gate: GateService):
+    def __init__(
+        self,
+        fleet: FleetService,
+        tables: TableService,
+        gate: GateService,
+        telemetry: Instruments,
+        why_not_ready: Callable[[], str],
+    ):
         self._fleet = fleet
         self._tables = tables
         self._gate = gate
+        self._telemetry = telemetry
+        self._why_not_ready = why_not_ready
 
     def as_json(self) -> dict:
-        """Return version in force, instances and verdicts."""
+        """Return version in force, instances, verdicts and service level."""
         own = self._fleet.own()
         return {
             "instance": own.instance,
             "incarnation": own.incarnation,
+            "zone": own.zone,
+            "region": own.region,
+            "not_ready": self._why_not_ready(),
             "table_version": self._tables.version,
+            "table_age_s": round(self._telemetry.table.age_s(), 1),
             "upstreams": [
                 {**_digest(digest), "reason": self._gate.reason_of(digest.upstream)}
                 for digest in self._gate.digests()
             ],
+            "service_level": [
+                _level(level) for level in self._telemetry.requests.levels()
+            ],
             "instances": [
                 _member(record, status) for record, status in self._fleet.snapshot()
             ],
         }
 
 
+def _level(level: ServiceLevel) -> dict:
+    return {
+        "service": level.service,
+        "rank": level.rank,
+        "requests": level.requests,
+        "within_target": level.within_target,
+        "share": round(level.share, 4),
+    }
+
+
 def _member(record: MemberRecord, status: MemberStatus) -> dict:
     return {
         "instance": record.instance,
--- a/tests/services/test_gate.py
+++ b/tests/services/test_gate.py
@@ -1,6 +1,7 @@
 """The gate in front of an upstream whose connections the test holds in its hand."""
 
 import queue
+import random
 import socket
 import threading
 import time
@@ -16,7 +17,7 @@
 from chicorychute.services.gate import GateService
 from chicorychute.services.held import HOLD_LIMIT_S
 from chicorychute.table.parse import parse_table
-from chicorychute.telemetry.tracing import Tracing
+from chicorychute.telemetry.tracing import PassThroughTracing
 from chicorychute.transport.calls import UpstreamCall
 from standins.fleet import TABLE_HEADER
 
@@ -123,7 +124,7 @@
     gate = GateService(
         [UpstreamSettings("u", "s", upstream.url)],
         clock,
-        Tracing("i"),
+        PassThroughTracing(random.Random(4)),
         lambda service: [],
         Quarantine("i", 1, clock),
         told.extend,
@@ -251,7 +252,8 @@
         run = Run(gate, clock)
         upstream.next().sendall(SHED)
         run.reply()
-    assert gate.digests()[0].slots == 1
+    digest = gate.digests()[0]
+    assert digest.slots * digest.weight == 1
 
 
 def test_team_over_its_rate_is_not_run_while_another_is(gate, clock, upstream):
