--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -1,8 +1,7 @@
 """Gate of the upstreams beside the daemon: the only way to them."""
 
-import statistics
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -17,29 +16,23 @@
 )
 from chicorychute.conf.settings import UpstreamSettings
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import (
-    QuarantineNotice,
-    UpstreamDigest,
-    Verdict,
-    Work,
-)
+from chicorychute.core.messages import QuarantineNotice, UpstreamDigest, Work
 from chicorychute.core.outcomes import Outcome, Reason
-from chicorychute.health.judge import Observation, Result, UpstreamJudge
-from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
+from chicorychute.health.judge import Attempt, UpstreamJudge
+from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
+from chicorychute.pipeline.values import Answer, Refused, Reply
+from chicorychute.services.bodies import AnswerBody, result_of, result_of_failure
+from chicorychute.services.recorder import NoRecorder
 from chicorychute.services.slots import UpstreamSlots
 from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.calls import UpstreamCall, is_listening, tracked
-from chicorychute.transport.upstream import (
-    UpstreamAnswer,
-    UpstreamClient,
-    UpstreamFailure,
-)
+from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
 
 POOL_THREADS = 256
-SERVER_ERROR = 500
-SERVICE_UNAVAILABLE = 503
+BODY_STATUSES = frozenset((200, 201, 203, 206))  # answers that should have a body
 
 Starter = Callable[[Decision], None]
 
@@ -74,12 +67,14 @@
         peer_digests: Callable[[str], list[UpstreamDigest]],
         quarantine: Quarantine,
         tell: Callable[[tuple[QuarantineNotice, ...]], None],
+        recorder: NoRecorder | None = None,
     ):
         self._clock = clock
         self._tracing = tracing
         self._peer_digests = peer_digests
         self._quarantine = quarantine
         self._tell = tell
+        self._recorder = recorder or NoRecorder()
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
         self._pool = WorkerPool("gate", POOL_THREADS)
@@ -87,7 +82,7 @@
             settings.id: _Upstream(
                 settings,
                 UpstreamSlots(settings.id, clock, quarantine),
-                UpstreamJudge(clock),
+                UpstreamJudge(clock, cold=True),
                 UpstreamClient(settings.url, POOL_THREADS),
             )
             for settings in upstreams
@@ -95,6 +90,7 @@
 
     def apply(self, table: Table) -> None:
         """Take the cells of a new table."""
+        self._recorder.table(table.text)
         with self._lock:
             for upstream in self._upstream_by_id.values():
                 rows = table.by_service.get(upstream.settings.service, ())
@@ -105,6 +101,7 @@
 
     def digests(self) -> tuple[UpstreamDigest, ...]:
         """Return load and health of every local upstream."""
+        self._compare_with_peers()
         with self._lock:
             return tuple(
                 UpstreamDigest(
@@ -116,8 +113,10 @@
                     upstream.slots.queued,
                     upstream.judge.latency_s * 1000,
                     upstream.judge.failure_share,
-                    upstream.slots.weight,
-                    waits=upstream.slots.waits(),
+                    min(upstream.judge.weight, upstream.slots.weight),
+                    upstream.judge.suspicion,
+                    upstream.judge.rank_digests(),
+                    upstream.slots.waits(),
                 )
                 for upstream in self._upstream_by_id.values()
             )
@@ -132,11 +131,15 @@
             return not any(u.slots.busy for u in self._upstream_by_id.values())
 
     def tick(self) -> None:
-        """Drop and cancel requests past their deadline."""
+        """Drop and cancel late requests, and judge those that run long."""
         for upstream in self._upstream_by_id.values():
             with self._lock:
+                upstream.judge.tick()
+                verdict = upstream.judge.verdict()
                 decisions = upstream.slots.advance()
-            self._deliver(decisions)
+            id = upstream.settings.id
+            self._recorder.verdict(id, verdict, upstream.judge.reason)
+            self._deliver(id, decisions)
 
     def ticket(
         self, upstream_id: str, work: Work, body: bytes, deadline_s: float
@@ -155,11 +158,13 @@
         if upstream is None:
             starter(QueueRefused(ticket, Reason.NO_UPSTREAM))
             return
+        self._recorder.arrived(upstream_id, ticket.rank, ticket.deadline_s)
         with self._lock:
             decision = upstream.slots.submit(ticket)
             if isinstance(decision, Queued):
                 self._starter_by_ticket[ticket] = starter
                 return
+        self._record_refusal(upstream_id, decision)
         starter(decision)
 
     def cancel(self, upstream_id: str, ticket: Ticket, call: UpstreamCall) -> None:
@@ -173,7 +178,9 @@
         if starter is None:
             call.cancel()
         else:
-            starter(QueueRefused(ticket, Reason.CANCELLED))
+            refused = QueueRefused(ticket, Reason.CANCELLED)
+            self._record_refusal(upstream_id, refused)
+            starter(refused)
 
     def on_notice(self, notice: QuarantineNotice) -> None:
         """Take a crash seen at a peer."""
@@ -199,13 +206,12 @@
     ) -> Reply:
         """Send a granted request to its upstream and release its slot at the end."""
         upstream = self._upstream_by_id[upstream_id]
-        with self._lock:
-            refusal = upstream.slots.start(ticket, call)
-            decisions = [] if refusal is None else upstream.slots.drop(ticket)
+        refusal = self._start(upstream, ticket, call)
         if refusal is not None:
-            self._deliver(decisions)
             return Refused(Outcome.NOT_RUN, refusal)
         started_s = self._clock.monotonic()
+        with self._lock:
+            attempt = upstream.judge.begin(work.rank)
         with self._tracing.span("upstream", work.traceparent) as traceparent:
             work = attrs.evolve(work, traceparent=traceparent)
             try:
@@ -214,16 +220,37 @@
                         work, body, ticket.deadline_s - started_s
                     )
             except UpstreamFailure as failure:
+                latency_s = self._clock.monotonic() - started_s
                 self._note_failure(upstream, ticket, call, failure)
-                result = Result.CANCELLED if call.cancelled else Result.FAILED
-                self._finish(upstream, ticket, result, started_s)
+                result = result_of_failure(failure, call)
+                observation = Observation(work.rank, result, latency_s)
+                self._finish(upstream, ticket, attempt, observation)
                 return _refusal_of(failure, call)
+        with self._lock:
+            upstream.judge.answered(attempt)
         head_s = self._clock.monotonic() - started_s
-        body = _AnswerBody(
-            answer,
-            lambda result: self._finish(upstream, ticket, result, started_s, head_s),
-        )
-        return Answer(answer.status, answer.headers, answer.length, body, upstream_id)
+        may_be_empty = work.method == "HEAD" or answer.status not in BODY_STATUSES
+
+        def finish(result: Result, latency_s: float, size: int) -> None:
+            seen = BYTES_UNKNOWN if may_be_empty else size
+            observation = Observation(work.rank, result, latency_s, seen)
+            self._finish(upstream, ticket, attempt, observation, head_s)
+
+        chunks = AnswerBody(answer, call, self._clock, head_s, finish)
+        return Answer(answer.status, answer.headers, answer.length, chunks, upstream_id)
+
+    def _start(
+        self, upstream: _Upstream, ticket: Ticket, call: UpstreamCall
+    ) -> Reason | None:
+        """Return why a granted request may not be sent any more, if so."""
+        with self._lock:
+            refusal = upstream.slots.start(ticket, call)
+            decisions = [] if refusal is None else upstream.slots.drop(ticket)
+        if refusal is not None:
+            id = upstream.settings.id
+            self._recorder.refused(id, ticket.rank, ticket.deadline_s)
+            self._deliver(id, decisions)
+        return refusal
 
     def _note_failure(
         self,
@@ -247,84 +274,72 @@
             if notices:
                 self._tell(notices)
 
+    def probe(self) -> None:
+        """Ask each upstream whose health no request shows for its probe path."""
+        for upstream in self._upstream_by_id.values():
+            if not upstream.settings.probe:
+                continue
+            with self._lock:
+                if not upstream.judge.probe_due():
+                    continue
+                attempt = upstream.judge.begin(PROBE_RANK)
+            self.in_pool(lambda u=upstream, a=attempt: self._run_probe(u, a))
+
+    def _run_probe(self, upstream: _Upstream, attempt: Attempt) -> None:
+        result = Result.FAILED
+        try:
+            work = probe_work(upstream.settings.service, upstream.settings.probe)
+            answer = upstream.client.send(work, b"", PROBE_TIMEOUT_S)
+            for _ in answer.chunks:
+                pass
+            result = result_of(answer.status)
+        except UpstreamFailure:
+            pass
+        latency_s = self._clock.monotonic() - attempt.started_s
+        with self._lock:
+            upstream.judge.observe(Observation(PROBE_RANK, result, latency_s), attempt)
+
+    def _compare_with_peers(self) -> None:
+        for upstream in self._upstream_by_id.values():
+            service = upstream.settings.service
+            peers = self._peer_digests(service)
+            with self._lock:
+                upstream.judge.take_peers(peers)
+            self._recorder.peers(service, peers)
+
     def _finish(
         self,
         upstream: _Upstream,
         ticket: Ticket,
-        result: Result,
-        started_s: float,
+        attempt: Attempt,
+        observation: Observation,
         head_s: float | None = None,
     ) -> None:
-        latency_s = self._clock.monotonic() - started_s
-        peers = self._peer_digests(upstream.settings.service)
-        peer_latency_s = _median_latency_s(peers)
         with self._lock:
-            observation = Observation(ticket.rank, result, latency_s)
-            upstream.judge.observe(observation, peer_latency_s)
-            match result:
+            upstream.judge.observe(observation, attempt)
+            match observation.result:
                 case Result.OK:
                     upstream.slots.answered(ticket, head_s)
                 case Result.SHED:
                     upstream.slots.shed()
             decisions = upstream.slots.finish(ticket, answered=head_s is not None)
-        self._deliver(decisions)
+        self._recorder.ended(upstream.settings.id, ticket.deadline_s, observation)
+        self._deliver(upstream.settings.id, decisions)
+
+    def _record_refusal(self, upstream_id: str, decision: Decision) -> None:
+        if isinstance(decision, QueueRefused):
+            ticket = decision.ticket
+            self._recorder.refused(upstream_id, ticket.rank, ticket.deadline_s)
 
-    def _deliver(self, decisions: list[Decision]) -> None:
+    def _deliver(self, upstream_id: str, decisions: list[Decision]) -> None:
         for decision in decisions:
+            self._record_refusal(upstream_id, decision)
             with self._lock:
                 starter = self._starter_by_ticket.pop(decision.ticket)
             starter(decision)
 
 
-class _AnswerBody:
-    """Body of an answer; reports its result once, at its end or on `close`."""
-
-    def __init__(self, answer: UpstreamAnswer, finish: Callable[[Result], None]):
-        self._answer = answer
-        self._finish = finish
-        self._finished = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        try:
-            return next(self._answer.chunks)
-        except StopIteration:
-            self._end(_result_of(self._answer.status))
-            raise
-        except UpstreamFailure as failure:
-            self._end(Result.FAILED)
-            raise AnswerBroken(failure.detail) from failure
-
-    def close(self) -> None:
-        """Give the rest up; the connection to the upstream is closed."""
-        if not self._finished:
-            self._answer.close()
-            self._end(Result.CANCELLED)
-
-    def _end(self, result: Result) -> None:
-        if not self._finished:
-            self._finished = True
-            self._finish(result)
-
-
 def _refusal_of(failure: UpstreamFailure, call: UpstreamCall) -> Refused:
     if call.cancelled and failure.outcome is Outcome.UNKNOWN:
         return Refused(Outcome.UNKNOWN, Reason.CANCELLED, failure.detail)
     return Refused(failure.outcome, failure.reason, failure.detail)
-
-
-def _result_of(status: int) -> Result:
-    if status == SERVICE_UNAVAILABLE:
-        return Result.SHED
-    return Result.FAILED if status >= SERVER_ERROR else Result.OK
-
-
-def _median_latency_s(digests: list[UpstreamDigest]) -> float:
-    known = [
-        digest.latency_ms / 1000
-        for digest in digests
-        if digest.latency_ms > 0 and digest.verdict is Verdict.HEALTHY
-    ]
-    return statistics.median(known) if known else 0.0
