Run an order once per key whatever its caller re-sends

Cause: a second send returned at once while the first ran; a caller's short deadline ended its order as unknown for good; a key refused as not run could run later through an older send; filters said not-run of a key that had run; two callers could get one token; a token of the future was accepted and outlived its entry; the ledger was bounded in entries only. Ruled out: a hash of the key over an entry's list, no memory, and keys that may run again after not-run: the model in tests/orders/world.py runs an order twice, or after "not run", under each of them. Change: orders run on a thread of their own for the row's deadline, callers wait until theirs; not-run closes the key; a guard lets only the home say not-run of a keyed request; every token is unique; entries, bytes and running orders are bounded; a full ledger closes unused tokens. The attempt loop is a sans-I/O decision that tells the worst outcome over attempts, and the choice of a gate stays in the region unless only the way beyond keeps the deadline.

--- a/chicorychute/core/outcomes.py
+++ b/chicorychute/core/outcomes.py
@@ -34,9 +34,13 @@
     KEY_REQUIRED = "key-required"
     KEY_EXPIRED = "key-expired"
     KEY_MISMATCH = "key-mismatch"
+    KEY_CLOSED = "key-closed"
     HOME_LOST = "home-lost"
+    HOME_UNREACHABLE = "home-unreachable"
     LEDGER_FULL = "ledger-full"
     ALREADY_RUNNING = "already-running"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    REGION_BUDGET = "region-budget"
 
 
 @attrs.frozen
@@ -72,9 +76,21 @@
     Reason.KEY_MISMATCH: ReasonSpec(
         422, "use a new unique part: this key names a different request"
     ),
+    Reason.KEY_CLOSED: ReasonSpec(
+        409, "place it under a new key: Idempotency-Key: <Chute-Home>/<unique part>"
+    ),
+    Reason.HOME_UNREACHABLE: ReasonSpec(
+        502, "ask again with the same key, through another instance if this stays"
+    ),
     Reason.HOME_LOST: ReasonSpec(
         502, "find out whether the order ran before placing it under a new key"
     ),
     Reason.LEDGER_FULL: ReasonSpec(503, "send it again later"),
     Reason.ALREADY_RUNNING: ReasonSpec(409, "ask again with the same key later"),
+    Reason.ANSWER_NOT_KEPT: ReasonSpec(
+        410, "it ran: look its result up at the service, don't place it again"
+    ),
+    Reason.REGION_BUDGET: ReasonSpec(
+        503, "send it again later, or raise cross_region_kbps of its row"
+    ),
 }
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -111,10 +111,12 @@
             self._gate, self._fleet, self._exchanges, hub, clock, self._rng
         )
         ledger = OrderLedger(instance, incarnation, clock)
-        home = OrderHome(ledger, entry.relay)
+        home = OrderHome(ledger, entry.relay, clock)
+        self._home = home
         handle = chain(
             [
                 filters.trace(tracing, "entry"),
+                home.guard,
                 filters.route(self._tables.routes),
                 filters.deadline(clock),
                 home.filter,
@@ -170,13 +172,14 @@
 
     def _drain(self) -> None:
         logger.info("daemon: leaving")
+        self._home.leave()
         self._fleet.leave()
         limit_s = self._settings.get("shutdown", "drain_limit_s").total_seconds()
         end_s = self._clock.monotonic() + limit_s
         self._pause(LEAVE_SETTLE_S)
-        while not self._gate.idle() and self._clock.monotonic() < end_s:
+        while not self._idle() and self._clock.monotonic() < end_s:
             self._pause(DRAIN_POLL_S)
-        if not self._gate.idle():
+        if not self._idle():
             logger.warning("daemon: requests were cut at the drain limit")
         self._edge.stop()
         for ticker in self._tickers:
@@ -185,6 +188,9 @@
         self._hub.stop()
         logger.info("daemon: stopped")
 
+    def _idle(self) -> bool:
+        return self._gate.idle() and self._home.idle()
+
     def _pause(self, seconds: float) -> None:
         threading.Event().wait(seconds)
 
--- a/chicorychute/orders/ledger.py
+++ b/chicorychute/orders/ledger.py
@@ -7,9 +7,12 @@
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import Headers
 from chicorychute.core.outcomes import Reason
-from chicorychute.orders.token import HomeToken, OrderKey
+from chicorychute.orders.token import TOKEN_LIFE_US, HomeToken, OrderKey
 
-LEDGER_LIMIT = 20_000
+ENTRY_LIMIT = 20_000
+RUNNING_LIMIT = 512
+ANSWER_BYTES_LIMIT = 64 << 10
+TOTAL_BYTES_LIMIT = 8 << 20
 
 
 class OrderState(enum.Enum):
@@ -17,6 +20,7 @@
 
     RUNNING = "running"
     RAN = "ran"
+    NOT_RUN = "not-run"
     UNKNOWN = "unknown"
 
 
@@ -27,6 +31,12 @@
     status: int
     headers: Headers
     body: bytes
+    upstream: str = ""
+
+    def size(self) -> int:
+        """Return the bytes that the ledger counts for it."""
+        head = sum(len(name) + len(value) for name, value in self.headers)
+        return head + len(self.body)
 
 
 @attrs.define
@@ -35,7 +45,7 @@
 
     fingerprint: str
     state: OrderState
-    expires_s: float
+    expires_us: int
     answer: StoredAnswer | None = None
 
 
@@ -51,6 +61,11 @@
     answer: StoredAnswer
 
 
+@attrs.frozen
+class Forgotten:
+    """The order ran, and its answer is no longer held."""
+
+
 @attrs.frozen
 class Wait:
     """The order is running."""
@@ -68,12 +83,18 @@
     reason: Reason
 
 
-Ruling = Dispatch | Repeat | Wait | Lost | Deny
+Ruling = Dispatch | Repeat | Forgotten | Wait | Lost | Deny
 
 
 class OrderLedger:
     """Says for each key whether it may be dispatched.
 
+    A key that was once refused as not run is closed: it never runs afterwards,
+    so a caller may place the order under a new key while an older send of the
+    first is still on its way. Closed keys cost an entry each until the ledger
+    is full; then every unused token minted so far is closed at once, and these
+    entries are dropped.
+
     Parameters
     ----------
     instance, incarnation
@@ -85,11 +106,25 @@
         self._incarnation = incarnation
         self._clock = clock
         self._entry_by_key: dict[OrderKey, Entry] = {}
-
-    def mint(self) -> HomeToken:
-        """Return a token under which callers may place orders here."""
-        now_s = int(self._clock.monotonic())
-        return HomeToken(self._instance, self._incarnation, now_s)
+        self._last_minted_us = -1
+        self._closed_until_us = -1
+        self._leaving = False
+        self.running = 0
+        self.bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._entry_by_key)
+
+    def mint(self) -> HomeToken | None:
+        """Return a new token for callers, None once the home is leaving."""
+        if self._leaving:
+            return None
+        self._last_minted_us = max(self._now_us(), self._last_minted_us + 1)
+        return HomeToken(self._instance, self._incarnation, self._last_minted_us)
+
+    def leave(self) -> None:
+        """Mint no more tokens and close every key not seen yet."""
+        self._leaving = True
 
     def owns(self, key: OrderKey) -> bool:
         """Return whether this process is the home of `key`."""
@@ -102,49 +137,122 @@
         """Rule on a request to run an order, marking it running on Dispatch."""
         if not self.owns(key):
             return Deny(Reason.HOME_LOST)
+        self._drop_expired()
         entry = self._entry_by_key.get(key)
         if entry is not None:
             return _rule_on_known(entry, fingerprint)
-        if key.home.expired(self._clock.monotonic()):
-            return Deny(Reason.KEY_EXPIRED)
-        if len(self._entry_by_key) >= LEDGER_LIMIT:
-            self._drop_expired()
-        if len(self._entry_by_key) >= LEDGER_LIMIT:
+        reason = self._why_closed(key)
+        if reason is not None:
+            return Deny(reason)
+        if self._full():
+            self._close_unused()
             return Deny(Reason.LEDGER_FULL)
-        expires_s = self._clock.monotonic() + 2 * 3600
-        self._entry_by_key[key] = Entry(fingerprint, OrderState.RUNNING, expires_s)
+        if self.running >= RUNNING_LIMIT:
+            self._add(key, fingerprint, OrderState.NOT_RUN)
+            return Deny(Reason.OVERLOAD)
+        self._add(key, fingerprint, OrderState.RUNNING)
+        self.running += 1
         return Dispatch()
 
+    def close(self, key: OrderKey) -> bool:
+        """Close a key; returns False where its order may have run."""
+        if not self.owns(key):
+            return False
+        self._drop_expired()
+        entry = self._entry_by_key.get(key)
+        if entry is not None:
+            return entry.state is OrderState.NOT_RUN
+        reason = self._why_closed(key)
+        if reason is not None:
+            return reason is not Reason.KEY_EXPIRED
+        if self._full():
+            self._close_unused()
+        else:
+            self._add(key, "", OrderState.NOT_RUN)
+        return True
+
     def not_run(self, key: OrderKey) -> None:
-        """Forget a dispatch that is proved not to have run."""
-        self._entry_by_key.pop(key, None)
+        """Close the key of a dispatch that is proved not to have run."""
+        self._end(key, OrderState.NOT_RUN)
 
     def ran(self, key: OrderKey, answer: StoredAnswer) -> None:
-        """Keep the answer of an order that ran."""
-        entry = self._entry_by_key[key]
-        entry.state = OrderState.RAN
-        entry.answer = answer
+        """Note that an order ran and keep its answer if there is room."""
+        entry = self._end(key, OrderState.RAN)
+        size = answer.size()
+        if size <= ANSWER_BYTES_LIMIT and self.bytes + size <= TOTAL_BYTES_LIMIT:
+            entry.answer = answer
+            self.bytes += size
+
+    def ran_unheard(self, key: OrderKey) -> None:
+        """Note that an order ran and that there is no answer to keep."""
+        self._end(key, OrderState.RAN)
 
     def lost(self, key: OrderKey) -> None:
         """Mark an order whose end can't be known."""
-        self._entry_by_key[key].state = OrderState.UNKNOWN
+        self._end(key, OrderState.UNKNOWN)
+
+    def _now_us(self) -> int:
+        return int(self._clock.monotonic() * 1_000_000)
+
+    def _why_closed(self, key: OrderKey) -> Reason | None:
+        """Return why a key that has no entry may not be dispatched."""
+        minted_us = key.home.minted_us
+        if minted_us > self._last_minted_us:
+            return Reason.KEY_REQUIRED
+        if key.home.expired(self._now_us()):
+            return Reason.KEY_EXPIRED
+        if minted_us <= self._closed_until_us:
+            return Reason.KEY_CLOSED
+        return Reason.LEAVING if self._leaving else None
+
+    def _full(self) -> bool:
+        return len(self) >= ENTRY_LIMIT or self.bytes >= TOTAL_BYTES_LIMIT
+
+    def _add(self, key: OrderKey, fingerprint: str, state: OrderState) -> None:
+        # A token may run ahead of the clock when many are minted at once.
+        begun_us = max(self._now_us(), key.home.minted_us)
+        entry = Entry(fingerprint, state, begun_us + TOKEN_LIFE_US)
+        self._entry_by_key[key] = entry
+
+    def _end(self, key: OrderKey, state: OrderState) -> Entry:
+        entry = self._entry_by_key[key]
+        entry.state = state
+        self.running -= 1
+        return entry
 
-    def _drop_expired(self) -> None:
-        now = self._clock.monotonic()
+    def _close_unused(self) -> None:
+        self._closed_until_us = self._last_minted_us
         self._entry_by_key = {
             key: entry
             for key, entry in self._entry_by_key.items()
-            if entry.expires_s > now or entry.state is OrderState.RUNNING
+            if entry.state is not OrderState.NOT_RUN
         }
 
+    def _drop_expired(self) -> None:
+        """Drop the oldest entries past their life; their tokens expired before."""
+        now_us = self._now_us()
+        expired = []
+        for key, entry in self._entry_by_key.items():
+            if entry.expires_us >= now_us or entry.state is OrderState.RUNNING:
+                break
+            expired.append(key)
+        for key in expired:
+            entry = self._entry_by_key.pop(key)
+            if entry.answer is not None:
+                self.bytes -= entry.answer.size()
+
 
 def _rule_on_known(entry: Entry, fingerprint: str) -> Ruling:
+    if entry.state is OrderState.NOT_RUN:
+        return Deny(Reason.KEY_CLOSED)
     if entry.fingerprint != fingerprint:
         return Deny(Reason.KEY_MISMATCH)
     match entry.state:
         case OrderState.RUNNING:
             return Wait()
+        case OrderState.RAN if entry.answer is None:
+            return Forgotten()
         case OrderState.RAN:
             return Repeat(entry.answer)
-        case OrderState.UNKNOWN:
+        case _:
             return Lost()
--- a/chicorychute/orders/token.py
+++ b/chicorychute/orders/token.py
@@ -1,11 +1,18 @@
 """Home tokens: which incarnation alone may dispatch an order, and until when."""
 
+import re
+
 import attrs
 from result import Err, Ok, Result
 
 from chicorychute.core.outcomes import Reason
 
-TOKEN_LIFE_S = 3600.0
+TOKEN_LIFE_US = 1_800_000_000
+KEY_MAX_CHARS = 200
+KEY_PATTERN = re.compile(
+    r"(?P<instance>[^/\s]+)@(?P<incarnation>[0-9]{1,18})\.(?P<minted>[0-9]{1,18})"
+    r"/(?P<unique>[A-Za-z0-9._~:-]{1,64})"
+)
 
 
 @attrs.frozen
@@ -14,20 +21,21 @@
 
     Attributes
     ----------
-    minted_s : int
-        Reading of the home's own monotonic clock, in whole seconds.
+    minted_us : int
+        Reading of the home's own monotonic clock, in microseconds; no two
+        tokens of one incarnation share it.
     """
 
     instance: str
     incarnation: int
-    minted_s: int
+    minted_us: int
 
     def __str__(self) -> str:
-        return f"{self.instance}@{self.incarnation}.{self.minted_s}"
+        return f"{self.instance}@{self.incarnation}.{self.minted_us}"
 
-    def expired(self, now_s: float) -> bool:
-        """Return whether the home's clock reading `now_s` is past its life."""
-        return now_s - self.minted_s > TOKEN_LIFE_S
+    def expired(self, now_us: int) -> bool:
+        """Return whether the home's clock reading `now_us` is past its life."""
+        return now_us - self.minted_us > TOKEN_LIFE_US
 
 
 @attrs.frozen
@@ -43,9 +51,10 @@
 
 def parse_key(text: str) -> Result[OrderKey, Reason]:
     """Read an ``Idempotency-Key`` header; Err says what to tell the caller."""
-    token, _, unique = text.partition("/")
-    instance, _, reading = token.rpartition("@")
-    incarnation, _, minted = reading.partition(".")
-    if not (instance and unique and incarnation.isdecimal() and minted.isdecimal()):
+    found = KEY_PATTERN.fullmatch(text)
+    if found is None or len(text) > KEY_MAX_CHARS:
         return Err(Reason.KEY_REQUIRED)
-    return Ok(OrderKey(HomeToken(instance, int(incarnation), int(minted)), unique))
+    token = HomeToken(
+        found["instance"], int(found["incarnation"]), int(found["minted"])
+    )
+    return Ok(OrderKey(token, found["unique"]))
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -1,15 +1,21 @@
-"""Filter that runs an order at its home, at most once."""
+"""Filters that run an order at its home, at most once."""
 
 import hashlib
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
-from result import Err
+import attrs
+import structlog
+from result import Err, Ok
 
+from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.orders.ledger import (
+    RUNNING_LIMIT,
     Deny,
     Dispatch,
+    Forgotten,
     Lost,
     OrderLedger,
     Repeat,
@@ -29,15 +35,32 @@
 )
 from chicorychute.table.rows import Repeat as RepeatPolicy
 
+LARGEST_ANSWER_BYTES = 16 << 20
+
 DENIED_OUTCOMES = {
     Reason.HOME_LOST: Outcome.UNKNOWN,
     Reason.KEY_EXPIRED: Outcome.UNKNOWN,
 }
+NOT_KEPT = Refused(Outcome.RAN, Reason.ANSWER_NOT_KEPT)
+
+logger = structlog.get_logger()
+
+
+class _Run:
+    """An order that runs; `end` is set once `done` is."""
+
+    def __init__(self) -> None:
+        self.done = threading.Event()
+        self.end: StoredAnswer | Refused | None = None
 
 
 class OrderHome:
     """Runs orders of this home and passes the others on to theirs.
 
+    An order runs on a thread of its own, for the whole deadline of its row. A
+    caller waits for its end only until the caller's own deadline, and may ask
+    again with the same key.
+
     Parameters
     ----------
     relay : callable
@@ -45,15 +68,53 @@
     """
 
     def __init__(
-        self, ledger: OrderLedger, relay: Callable[[Request, OrderKey], Reply]
+        self,
+        ledger: OrderLedger,
+        relay: Callable[[Request, OrderKey], Reply],
+        clock: Clock,
     ):
         self._ledger = ledger
         self._relay = relay
+        self._clock = clock
         self._lock = threading.Lock()
+        self._run_by_key: dict[OrderKey, _Run] = {}
+        # The ledger denies what is over the limit, so nothing queues here.
+        self._pool = ThreadPoolExecutor(RUNNING_LIMIT, thread_name_prefix="order")
 
     def home(self) -> str:
-        """Return a token for new orders."""
-        return str(self._ledger.mint())
+        """Return a token for new orders, empty once the home is leaving."""
+        with self._lock:
+            token = self._ledger.mint()
+        return "" if token is None else str(token)
+
+    def leave(self) -> None:
+        """Take no new orders; known ones are answered as before."""
+        with self._lock:
+            self._ledger.leave()
+
+    def idle(self) -> bool:
+        """Return whether no order runs."""
+        with self._lock:
+            return not self._run_by_key
+
+    def guard(self, handler: Handler) -> Handler:
+        """Say not-run of a keyed request only where the home proves it.
+
+        A filter may refuse a send before the home has ruled on its key, while
+        an earlier send of the same order ran or is still on its way.
+        """
+
+        def run(request: Request) -> Reply:
+            reply = handler(request)
+            if not isinstance(reply, Refused) or reply.outcome is not Outcome.NOT_RUN:
+                return reply
+            if request.ruled or not self._may_be_order(request):
+                return reply
+            with self._lock:
+                closed = self._ledger.close(parse_key(request.key).ok_value)
+            return reply if closed else attrs.evolve(reply, outcome=Outcome.UNKNOWN)
+
+        return run
 
     def filter(self, handler: Handler) -> Handler:
         """Let idempotent requests through and rule on the others."""
@@ -61,65 +122,121 @@
         def run(request: Request) -> Reply:
             if request.row.repeat is RepeatPolicy.IDEMPOTENT:
                 return handler(request)
-            parsed = parse_key(request.key)
-            if isinstance(parsed, Err):
-                return Refused(Outcome.NOT_RUN, parsed.err_value)
-            key = parsed.ok_value
-            with self._lock:
-                if not self._ledger.owns(key):
-                    ruling = None
-                else:
-                    ruling = self._ledger.begin(key, _fingerprint(request))
-            if ruling is None:
-                return self._relay(request, key)
-            return self._follow(ruling, key, request, handler)
+            request.ruled = True
+            match parse_key(request.key):
+                case Err(reason):
+                    return Refused(Outcome.NOT_RUN, reason)
+                case Ok(key) if not self._ledger.owns(key):
+                    return self._relay(request, key)
+                case Ok(key):
+                    return self._rule(key, request, handler)
 
         return run
 
-    def _follow(
-        self, ruling: Ruling, key: OrderKey, request: Request, handler: Handler
-    ) -> Reply:
+    def _may_be_order(self, request: Request) -> bool:
+        if request.row is not None and request.row.repeat is RepeatPolicy.IDEMPOTENT:
+            return False
+        return parse_key(request.key).is_ok()
+
+    def _rule(self, key: OrderKey, request: Request, handler: Handler) -> Reply:
+        fingerprint = _fingerprint(request)
+        with self._lock:
+            ruling = self._ledger.begin(key, fingerprint)
+            if isinstance(ruling, Dispatch):
+                self._run_by_key[key] = _Run()
+            run = self._run_by_key.get(key)
+        if isinstance(ruling, Dispatch):
+            self._start(key, run, request, handler)
+        return self._follow(ruling, run, request)
+
+    def _follow(self, ruling: Ruling, run: _Run | None, request: Request) -> Reply:
         match ruling:
-            case Dispatch():
-                return self._dispatch(key, request, handler)
+            case Dispatch() | Wait():
+                return self._wait(run, request.deadline_s)
             case Repeat(answer):
                 return _replay(answer)
-            case Wait():
-                return Refused(Outcome.UNKNOWN, Reason.ALREADY_RUNNING)
+            case Forgotten():
+                return NOT_KEPT
             case Lost():
                 return Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)
             case Deny(reason):
                 outcome = DENIED_OUTCOMES.get(reason, Outcome.NOT_RUN)
                 return Refused(outcome, reason)
 
-    def _dispatch(self, key: OrderKey, request: Request, handler: Handler) -> Reply:
-        reply = handler(request)
-        if isinstance(reply, Refused):
-            with self._lock:
-                if reply.outcome is Outcome.NOT_RUN:
-                    self._ledger.not_run(key)
-                else:
-                    self._ledger.lost(key)
-            return reply
+    def _wait(self, run: _Run, deadline_s: float) -> Reply:
+        run.done.wait(max(0.0, deadline_s - self._clock.monotonic()))
+        match run.end:
+            case None:
+                detail = "the order still runs"
+                return Refused(Outcome.UNKNOWN, Reason.ALREADY_RUNNING, detail)
+            case StoredAnswer():
+                return _replay(run.end)
+            case Refused():
+                return run.end
+
+    def _start(
+        self, key: OrderKey, run: _Run, request: Request, handler: Handler
+    ) -> None:
+        limit_s = request.row.deadline_ms / 1000
+        own = attrs.evolve(request, deadline_s=request.received_s + limit_s)
         try:
-            body = b"".join(reply.chunks)
-        except AnswerBroken as error:
-            with self._lock:
-                self._ledger.lost(key)
-            return Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
-        answer = StoredAnswer(reply.status, reply.headers, body)
+            self._pool.submit(self._run, key, run, own, handler)
+        except RuntimeError as error:
+            logger.warning("order: no thread could be started", error=str(error))
+            self._settle(key, run, Refused(Outcome.NOT_RUN, Reason.OVERLOAD))
+
+    def _run(
+        self, key: OrderKey, run: _Run, request: Request, handler: Handler
+    ) -> None:
+        try:
+            end = _collect(handler(request))
+        except Exception:
+            logger.exception("order: ended by an unexpected error")
+            end = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)
+        self._settle(key, run, end)
+
+    def _settle(self, key: OrderKey, run: _Run, end: StoredAnswer | Refused) -> None:
         with self._lock:
-            self._ledger.ran(key, answer)
-        return _replay(answer)
+            match end:
+                case StoredAnswer():
+                    self._ledger.ran(key, end)
+                case Refused(Outcome.NOT_RUN):
+                    self._ledger.not_run(key)
+                case Refused(Outcome.RAN):
+                    self._ledger.ran_unheard(key)
+                case _:
+                    self._ledger.lost(key)
+            del self._run_by_key[key]
+        run.end = end
+        run.done.set()
+
+
+def _collect(reply: Reply) -> StoredAnswer | Refused:
+    if isinstance(reply, Refused):
+        return reply
+    body = bytearray()
+    try:
+        for chunk in reply.chunks:
+            body += chunk
+            if len(body) > LARGEST_ANSWER_BYTES:
+                reply.chunks.close()
+                return NOT_KEPT
+    except AnswerBroken as error:
+        return Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
+    return StoredAnswer(reply.status, reply.headers, bytes(body), reply.upstream)
 
 
 def _replay(answer: StoredAnswer) -> Answer:
-    return Answer(
-        answer.status, answer.headers, len(answer.body), WholeBody(answer.body)
-    )
+    body = WholeBody(answer.body)
+    length = len(answer.body)
+    return Answer(answer.status, answer.headers, length, body, answer.upstream)
 
 
 def _fingerprint(request: Request) -> str:
-    digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
+    """Digest what the order is, without what a re-send may change."""
+    kind = next((v for n, v in request.headers if n.lower() == "content-type"), "")
+    digest = hashlib.sha256()
+    for part in (request.method, request.target, request.team, kind):
+        digest.update(f"{len(part)}:{part}".encode())
     digest.update(request.body)
     return digest.hexdigest()
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -49,6 +49,26 @@
         self._data = None
 
 
+class CountedBody:
+    """Body that tells how many bytes were read of it."""
+
+    def __init__(self, body: Body, count: Callable[[int], None]):
+        self._body = body
+        self._count = count
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        data = next(self._body)
+        self._count(len(data))
+        return data
+
+    def close(self) -> None:
+        """Give the rest up."""
+        self._body.close()
+
+
 @attrs.define
 class Request:
     """One request at its entry.
@@ -65,6 +85,8 @@
         Sends to gates so far, counted across hops.
     relayed : bool
         Whether a peer passed the request on.
+    ruled : bool
+        Whether the home of the order has ruled on it, or was asked to.
     """
 
     method: str
@@ -80,6 +102,7 @@
     row: Row | None = None
     attempt: int = 0
     relayed: bool = False
+    ruled: bool = False
 
     @property
     def path(self) -> str:
--- /dev/null
+++ b/chicorychute/routing/attempts.py
@@ -0,0 +1,127 @@
+"""Decides after each attempt at a request whether there is another.
+
+Events are the ends of attempts, actions are `Again` or `Stop`. No send happens
+here; the entry drives the object and does what it says.
+"""
+
+import attrs
+
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.routing.budget import RetryBudget
+from chicorychute.table.rows import Repeat
+
+MAX_ATTEMPTS = 3
+SERVER_ERROR = 500
+
+FINAL_REASONS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.CANCELLED,
+        Reason.DEADLINE,
+        Reason.QUARANTINED,
+        Reason.RATE,
+        Reason.TOO_LARGE,
+    }
+)
+SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RAN: 2}
+
+
+@attrs.frozen
+class Answered:
+    """An upstream answered with this status."""
+
+    status: int
+
+
+@attrs.frozen
+class Ended:
+    """An attempt ended without an answer."""
+
+    outcome: Outcome
+    reason: Reason
+
+
+AttemptEnd = Answered | Ended
+
+
+@attrs.frozen
+class Again:
+    """Another upstream may be tried, if one can answer in time."""
+
+
+@attrs.frozen
+class Stop:
+    """The end of the last attempt is the end of the request."""
+
+
+Action = Again | Stop
+
+
+class Attempts:
+    """Attempts at one request.
+
+    Parameters
+    ----------
+    repeat : Repeat
+        Whether the request may run more than once.
+    sent : int
+        Attempts made before the request came here, on other hops.
+    """
+
+    def __init__(
+        self, repeat: Repeat, budget: RetryBudget, deadline_s: float, sent: int = 0
+    ):
+        self._repeat = repeat
+        self._budget = budget
+        self._deadline_s = deadline_s
+        self._worst = Outcome.NOT_RUN
+        self.sent = sent
+
+    @property
+    def outcome(self) -> Outcome:
+        """What may have been run in any attempt so far."""
+        return self._worst
+
+    def may_start(self, now_s: float, predicted_s: float) -> bool:
+        """Count an attempt and return whether it may be sent.
+
+        A repeated attempt needs the budget of its service, and time for the
+        answer that is predicted.
+        """
+        if self.sent >= MAX_ATTEMPTS or now_s >= self._deadline_s:
+            return False
+        if self.sent:
+            if now_s + predicted_s > self._deadline_s:
+                return False
+            if not self._budget.withdraw():
+                return False
+        self.sent += 1
+        return True
+
+    def on_end(self, end: AttemptEnd, now_s: float) -> Action:
+        """Take the end of an attempt; returns what follows."""
+        self._note(end)
+        if self.sent >= MAX_ATTEMPTS or now_s >= self._deadline_s:
+            return Stop()
+        return Again() if self._repeatable(end) else Stop()
+
+    def told(self, outcome: Outcome) -> Outcome:
+        """Return the outcome to tell where the last attempt says `outcome`."""
+        return max(self._worst, outcome, key=SEVERITY.__getitem__)
+
+    def _note(self, end: AttemptEnd) -> None:
+        match end:
+            case Answered():
+                self._worst = Outcome.RAN
+            case Ended(outcome):
+                self._worst = self.told(outcome)
+
+    def _repeatable(self, end: AttemptEnd) -> bool:
+        idempotent = self._repeat is Repeat.IDEMPOTENT
+        match end:
+            case Answered(status):
+                return idempotent and status >= SERVER_ERROR
+            case Ended(Outcome.NOT_RUN, reason):
+                return reason not in FINAL_REASONS
+            case Ended():
+                return idempotent
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -1,10 +1,12 @@
-"""Picks one gate by predicted completion, nearest first."""
+"""Picks one gate by predicted completion, within the region where it can."""
 
 import random
+from collections.abc import Mapping
 
 import attrs
 
 from chicorychute.core.messages import Verdict
+from chicorychute.core.outcomes import Reason
 from chicorychute.routing.candidates import Candidate, Distance
 
 TRAVEL_MS = {
@@ -14,6 +16,7 @@
     Distance.BEYOND: 60.0,
 }
 SICK_PENALTY = 8.0
+SAMPLES = 2
 
 
 @attrs.frozen
@@ -24,6 +27,13 @@
     predicted_ms: float
 
 
+@attrs.frozen
+class NoChoice:
+    """No gate may be sent to."""
+
+    reason: Reason
+
+
 def predict_ms(candidate: Candidate, sent: int) -> float:
     """Return the predicted time to an answer.
 
@@ -44,20 +54,73 @@
 
 def choose(
     candidates: list[Candidate],
-    outstanding_by_upstream: dict[str, int],
+    outstanding_by_upstream: Mapping[str, int],
     tried: frozenset[str],
     rng: random.Random,
-) -> Choice | None:
-    """Choose the better of two random candidates not tried yet.
+    remaining_ms: float,
+    beyond_allowed: bool,
+) -> Choice | NoChoice:
+    """Choose a gate not tried yet.
 
-    The method is the power of two choices (Mitzenmacher, 2001).
+    The better of two random candidates of the region, the local one always
+    among those compared, is taken if it can answer in time. Otherwise the best
+    of the region, and beyond the region only if no other keeps the deadline.
+    Sampling two is the power of two choices (Mitzenmacher, 2001).
+
+    Parameters
+    ----------
+    remaining_ms : float
+        Time left before the deadline.
+    beyond_allowed : bool
+        Whether the budget of bytes beyond the region has something left.
     """
-    fresh = [c for c in candidates if c.digest.upstream not in tried]
-    if not fresh:
-        return None
-    picked = rng.sample(fresh, min(2, len(fresh)))
+    near = []
+    far = []
+    for candidate in candidates:
+        if candidate.digest.upstream in tried:
+            continue
+        if candidate.distance == Distance.BEYOND:
+            far.append(candidate)
+        else:
+            near.append(candidate)
+    if not near:
+        return _choose_far(far, outstanding_by_upstream, rng, beyond_allowed)
+    choice = _best(_sample(near, rng), outstanding_by_upstream)
+    if choice.predicted_ms <= remaining_ms:
+        return choice
+    choice = _best(near, outstanding_by_upstream)
+    if choice.predicted_ms <= remaining_ms or not (far and beyond_allowed):
+        return choice
+    beyond = _best(far, outstanding_by_upstream)
+    return beyond if beyond.predicted_ms <= remaining_ms else choice
+
+
+def _choose_far(
+    far: list[Candidate],
+    outstanding_by_upstream: Mapping[str, int],
+    rng: random.Random,
+    beyond_allowed: bool,
+) -> Choice | NoChoice:
+    if not far:
+        return NoChoice(Reason.NO_UPSTREAM)
+    if not beyond_allowed:
+        return NoChoice(Reason.REGION_BUDGET)
+    return _best(_sample(far, rng), outstanding_by_upstream)
+
+
+def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    if len(candidates) <= SAMPLES:
+        return candidates
+    picked = rng.sample(candidates, SAMPLES)
+    local = [c for c in candidates if c.distance == Distance.LOCAL]
+    return picked + local
+
+
+def _best(
+    candidates: list[Candidate], outstanding_by_upstream: Mapping[str, int]
+) -> Choice:
     choices = [
         Choice(c, predict_ms(c, outstanding_by_upstream.get(c.digest.upstream, 0)))
-        for c in picked
+        for c in candidates
     ]
     return min(choices, key=lambda choice: choice.predicted_ms)
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -6,24 +6,38 @@
 from collections import Counter
 from collections.abc import Callable
 
+import attrs
+
 from chicorychute.admission.queue import Decision, Granted, Ticket
 from chicorychute.admission.queue import Refused as QueueRefused
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import Forward, Relay, Work
+from chicorychute.core.messages import Forward, MemberRecord, Relay, Work
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.orders.homes import NoHome, RelayTo, find_home
 from chicorychute.orders.token import OrderKey
-from chicorychute.pipeline.values import Answer, Refused, Reply, Request
-from chicorychute.routing.budget import RetryBudget
-from chicorychute.routing.candidates import Candidate, Distance, eligible
-from chicorychute.routing.choice import choose
+from chicorychute.pipeline.values import Answer, CountedBody, Refused, Reply, Request
+from chicorychute.routing.attempts import (
+    Answered,
+    AttemptEnd,
+    Attempts,
+    Ended,
+    Stop,
+)
+from chicorychute.routing.budget import RegionBudget, RetryBudget
+from chicorychute.routing.candidates import (
+    Candidate,
+    Distance,
+    distance_between,
+    eligible,
+)
+from chicorychute.routing.choice import Choice, NoChoice, choose
 from chicorychute.services.exchanges import CHUNK_BYTES, Exchanges, send_body_rest
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
-from chicorychute.table.rows import Repeat
+from chicorychute.table.rows import Row
 from chicorychute.transport.links import LinkError, LinkHub
 
-MAX_ATTEMPTS = 3
-SERVER_ERROR = 500
+HEAD_BYTES = 500  # head of a request and of its answer on a link
 
 
 class EntryService:
@@ -52,60 +66,90 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._region_budget_by_service: dict[str, RegionBudget] = {}
         self._outstanding_by_upstream: Counter[str] = Counter()
 
     def handle(self, request: Request) -> Reply:
         """Send a request to gates until one answers or none may be tried."""
         row = request.row
-        budget = self._budget(row.service)
-        budget.deposit(row.retry_share)
+        budget = self._budget(row)
+        attempts = Attempts(row.repeat, budget, request.deadline_s, request.attempt)
         tried: frozenset[str] = frozenset()
         reply: Reply = Refused(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
-        for _ in range(MAX_ATTEMPTS):
-            candidate = self._choose(request, tried)
-            if candidate is None:
-                return reply
-            if tried and not budget.withdraw():
-                return reply
+        while True:
+            choice = self._choose(request, tried)
+            if isinstance(choice, NoChoice):
+                return reply if tried else Refused(Outcome.NOT_RUN, choice.reason)
+            if not self._may_start(attempts, choice):
+                return reply if tried else Refused(Outcome.NOT_RUN, Reason.DEADLINE)
             _discard(reply)
-            request.attempt += 1
-            reply = self._send(request, candidate)
-            tried |= {candidate.digest.upstream}
-            if not _may_retry(reply, row.repeat):
-                return reply
-            if self._clock.monotonic() >= request.deadline_s:
+            request.attempt = attempts.sent
+            reply = self._send(request, choice.candidate)
+            tried |= {choice.candidate.digest.upstream}
+            action = attempts.on_end(_end_of(reply), self._clock.monotonic())
+            if isinstance(reply, Refused):
+                reply = attrs.evolve(reply, outcome=attempts.outcome)
+            if isinstance(action, Stop):
                 return reply
-        return reply
 
     def relay(self, request: Request, key: OrderKey) -> Reply:
         """Pass an order on to its home."""
         record = self._fleet.record_of(key.home.instance)
-        lost = Refused(Outcome.UNKNOWN, Reason.HOME_LOST)
-        if request.relayed or record is None:
-            return lost
-        if record.incarnation != key.home.incarnation:
-            return lost
-        address = (record.host, record.peer_port)
-        return self._exchange(
-            address,
+        match find_home(key, record, request.relayed):
+            case NoHome(reason):
+                return Refused(Outcome.UNKNOWN, reason)
+            case RelayTo(record):
+                return self._relay_to(request, record)
+
+    def _relay_to(self, request: Request, record: MemberRecord) -> Reply:
+        reply = self._exchange(
+            (record.host, record.peer_port),
             request,
             lambda id, work, body, more: Relay(
                 id, self._clock.monotonic(), work, body, more
             ),
             "",
-            lost,
+            # An earlier send of the same order may have reached the home.
+            Refused(Outcome.UNKNOWN, Reason.HOME_UNREACHABLE),
         )
+        if distance_between(self._fleet.own(), record) == Distance.BEYOND:
+            return self._count_bytes(request, reply)
+        return reply
+
+    def _budget(self, row: Row) -> RetryBudget:
+        with self._lock:
+            budget = self._budget_by_service.setdefault(row.service, RetryBudget())
+            budget.deposit(row.retry_share)
+        return budget
 
-    def _budget(self, service: str) -> RetryBudget:
+    def _may_start(self, attempts: Attempts, choice: Choice) -> bool:
         with self._lock:
-            return self._budget_by_service.setdefault(service, RetryBudget())
+            now_s = self._clock.monotonic()
+            return attempts.may_start(now_s, choice.predicted_ms / 1000)
 
-    def _choose(self, request: Request, tried: frozenset[str]) -> Candidate | None:
-        candidates = eligible(
-            self._fleet.candidates(request.row.service), request.row.floor
+    def _choose(self, request: Request, tried: frozenset[str]) -> Choice | NoChoice:
+        row = request.row
+        candidates = eligible(self._fleet.candidates(row.service), row.floor)
+        remaining_s = request.deadline_s - self._clock.monotonic()
+        with self._lock:
+            beyond_allowed = self._region_budget(row.service).allows(
+                row.cross_region_kbps
+            )
+        return choose(
+            candidates,
+            self._outstanding_by_upstream,
+            tried,
+            self._rng,
+            remaining_s * 1000,
+            beyond_allowed,
         )
-        choice = choose(candidates, self._outstanding_by_upstream, tried, self._rng)
-        return None if choice is None else choice.candidate
+
+    def _region_budget(self, service: str) -> RegionBudget:
+        budget = self._region_budget_by_service.get(service)
+        if budget is None:
+            budget = RegionBudget(self._clock)
+            self._region_budget_by_service[service] = budget
+        return budget
 
     def _send(self, request: Request, candidate: Candidate) -> Reply:
         upstream = candidate.digest.upstream
@@ -114,20 +158,43 @@
         try:
             if candidate.distance == Distance.LOCAL:
                 return self._run_here(request, upstream)
-            record = self._fleet.record_of(candidate.instance)
-            return self._exchange(
-                (record.host, record.peer_port),
-                request,
-                lambda id, work, body, more: Forward(
-                    id, self._clock.monotonic(), upstream, work, body, more
-                ),
-                upstream,
-                Refused(Outcome.NOT_RUN, Reason.PEER_LOST),
-            )
+            reply = self._forward(request, candidate)
+            if candidate.distance == Distance.BEYOND:
+                return self._count_bytes(request, reply)
+            return reply
         finally:
             with self._lock:
                 self._outstanding_by_upstream[upstream] -= 1
 
+    def _forward(self, request: Request, candidate: Candidate) -> Reply:
+        upstream = candidate.digest.upstream
+        unreachable = Refused(Outcome.NOT_RUN, Reason.PEER_LOST)
+        record = self._fleet.record_of(candidate.instance)
+        if record is None:
+            return unreachable
+        return self._exchange(
+            (record.host, record.peer_port),
+            request,
+            lambda id, work, body, more: Forward(
+                id, self._clock.monotonic(), upstream, work, body, more
+            ),
+            upstream,
+            unreachable,
+        )
+
+    def _count_bytes(self, request: Request, reply: Reply) -> Reply:
+        """Charge a request and its answer to the budget beyond the region."""
+        service = request.row.service
+
+        def spend(size: int) -> None:
+            with self._lock:
+                self._region_budget(service).spend(size)
+
+        spend(HEAD_BYTES + len(request.body))
+        if isinstance(reply, Refused):
+            return reply
+        return attrs.evolve(reply, chunks=CountedBody(reply.chunks, spend))
+
     def _run_here(self, request: Request, upstream: str) -> Reply:
         decisions: queue.SimpleQueue[Decision] = queue.SimpleQueue()
         ticket = Ticket(request.row.rank, request.deadline_s)
@@ -153,6 +220,8 @@
             link = self._hub().link_to(address)
         except LinkError:
             return unreachable
+        if self._clock.monotonic() >= request.deadline_s:
+            return attrs.evolve(unreachable, reason=Reason.DEADLINE)
         exchange = self._exchanges.open(link)
         body = request.body
         more = len(body) > CHUNK_BYTES
@@ -186,11 +255,9 @@
         reply.chunks.close()
 
 
-def _may_retry(reply: Reply, repeat: Repeat) -> bool:
+def _end_of(reply: Reply) -> AttemptEnd:
     match reply:
         case Answer(status):
-            return repeat is Repeat.IDEMPOTENT and status >= SERVER_ERROR
-        case Refused(Outcome.NOT_RUN, reason):
-            return reason is not Reason.DEADLINE
-        case _:
-            return repeat is Repeat.IDEMPOTENT
+            return Answered(status)
+        case Refused(outcome, reason):
+            return Ended(outcome, reason)
--- /dev/null
+++ b/tests/orders/test_at_most_once.py
@@ -0,0 +1,79 @@
+"""No interleaving runs an order twice, or runs it after a "not run"."""
+
+import importlib.util
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, Phase, find, given, settings
+from hypothesis import strategies as st
+
+from chicorychute.orders import ledger
+
+spec = importlib.util.spec_from_file_location(
+    "orders_world", Path(__file__).with_name("world.py")
+)
+world = importlib.util.module_from_spec(spec)
+spec.loader.exec_module(world)
+
+STEP_NAMES = (
+    "place",
+    "rule",
+    "run",
+    "run_unheard",
+    "refuse",
+    "guard",
+    "kill",
+    "freeze",
+    "wake",
+    "leave",
+    "learn",
+    "forget",
+    "advance",
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("place", "rule") * 3 + STEP_NAMES),
+        st.sampled_from(world.INSTANCES),
+        st.integers(0, 11),
+    ),
+    min_size=40,
+    max_size=60,
+)
+PROFILE = settings(
+    max_examples=300,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+@pytest.fixture
+def small_ledger(monkeypatch):
+    """Let the limits be met by a few orders."""
+    monkeypatch.setattr(ledger, "ENTRY_LIMIT", 2)
+    monkeypatch.setattr(ledger, "RUNNING_LIMIT", 1)
+
+
+@PROFILE
+@given(STEPS)
+def test_an_order_runs_at_most_once_and_never_after_not_run(steps):
+    assert world.World(world.HomeTokens()).play(steps).fault == ""
+
+
+@PROFILE
+@given(steps=STEPS)
+def test_a_full_ledger_keeps_the_promise(small_ledger, steps):
+    assert world.World(world.HomeTokens()).play(steps).fault == ""
+
+
+@pytest.mark.parametrize(
+    "scheme", [world.ReusableKeys, world.HashOwner, world.NoMemory]
+)
+def test_the_property_fails_for_the_schemes_not_chosen(scheme):
+    broken = find(
+        STEPS,
+        lambda steps: bool(world.World(scheme()).play(steps).fault),
+        settings=settings(PROFILE, max_examples=2_000, phases=[Phase.generate]),
+    )
+    assert broken
