Give an answer whole or as failed, and an order its own connection

Cause: a Content-Length that is no number and a header that can't be written raised ValueError past the gate, which then kept the slot for good; an order could be written on a pooled connection that was dying; a body that trickled was bounded by each read, not by the deadline. Change: requests with a key use a connection of their own; heads are checked before a connection is made; bodies are read piece by piece until the deadline.

--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -73,7 +73,7 @@
                 settings,
                 UpstreamQueue(0, (), clock),
                 UpstreamJudge(clock),
-                UpstreamClient(settings.url, POOL_THREADS),
+                UpstreamClient(settings.url, POOL_THREADS, clock),
             )
             for settings in upstreams
         }
--- /dev/null
+++ b/tests/transport/test_upstream.py
@@ -0,0 +1,205 @@
+"""An upstream's answer is whole or fails, and an order is sent only once."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import Work
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
+
+PATIENCE_S = 20.0
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class Server:
+    """Answers each request with the next script, a list of bytes or callables.
+
+    A connection stays open after an answer unless its script ends in None.
+    """
+
+    def __init__(self):
+        self.scripts = []
+        self.requests = []
+        self.connections = 0
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self.port = self._server.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._server.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._server.accept()
+                self.connections += 1
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError), sock:
+            sock.settimeout(PATIENCE_S)
+            while data := self._read(sock):
+                self.requests.append(data)
+                for part in self.scripts.pop(0):
+                    if part is None:
+                        return
+                    if callable(part):
+                        part()
+                    else:
+                        sock.sendall(part)
+
+    def _read(self, sock):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = sock.recv(65536)
+            if not more:
+                return b""
+            data += more
+        return data
+
+
+@pytest.fixture
+def server():
+    running = Server()
+    yield running
+    running.close()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def client(server, clock):
+    return UpstreamClient(f"http://127.0.0.1:{server.port}", 4, clock)
+
+
+def work(key="", method="GET", headers=()):
+    return Work(
+        method, "/a", headers, "orders", "order", "t", key, "00-a-b-01", 1, 1000.0
+    )
+
+
+def read(client, request=None, timeout_s=PATIENCE_S):
+    answer = client.send(request or work(), b"", timeout_s)
+    return answer, b"".join(answer.chunks)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [HEAD + b"Content-Length: 9\r\n\r\n", b"short", None],
+        [CHUNKED + b"5\r\nwhole\r\n", None],
+        [CHUNKED + b"9\r\nshort", None],
+        [CHUNKED + b"what?\r\n", None],
+    ],
+    ids=["short", "no last chunk", "cut in a chunk", "bad chunk"],
+)
+def test_answer_that_ends_early_is_not_whole(server, client, script):
+    server.scripts = [script]
+    with pytest.raises(UpstreamFailure) as failure:
+        read(client)
+    assert failure.value.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "script, length, body",
+    [
+        ([HEAD + b"Content-Length: 5\r\n\r\nwhole"], 5, b"whole"),
+        ([CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n"], -1, b"whole"),
+        ([HEAD + b"Content-Length: 0\r\n\r\n"], 0, b""),
+        ([b"HTTP/1.1 204 No Content\r\n\r\n"], -1, b""),
+        ([b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n"], 7, b""),
+    ],
+    ids=["length", "chunked", "empty", "204", "304"],
+)
+def test_whole_answer(server, client, script, length, body):
+    server.scripts = [script]
+    answer, received = read(client)
+    assert (answer.length, received) == (length, body)
+
+
+def test_answer_to_head_has_a_length_and_no_body(server, client):
+    server.scripts = [[HEAD + b"Content-Length: 7\r\n\r\n"]] * 2
+    assert read(client, work(method="HEAD"))[0].length == 7
+    assert read(client, work(method="HEAD"))[1] == b""
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [None],
+        [b"garbage\r\n\r\n", None],
+        [HEAD + b"Content-Length: many\r\n\r\nwhole", None],
+        [HEAD + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nwhole", None],
+        [HEAD + b"X: " + b"x" * 100_000 + b"\r\n\r\n", None],
+    ],
+    ids=["hung up", "not HTTP", "bad length", "two lengths", "huge head"],
+)
+def test_malformed_answer_is_unknown(server, client, script):
+    server.scripts = [script]
+    with pytest.raises(UpstreamFailure) as failure:
+        read(client)
+    assert failure.value.outcome is Outcome.UNKNOWN
+    assert len(server.requests) == 1
+
+
+def test_upstream_that_does_not_listen_is_not_run():
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        port = closed.getsockname()[1]
+    client = UpstreamClient(f"http://127.0.0.1:{port}", 4, ManualClock())
+    with pytest.raises(UpstreamFailure) as failure:
+        client.send(work("a@1.1/1"), b"", PATIENCE_S)
+    assert failure.value.outcome is Outcome.NOT_RUN
+
+
+def test_request_that_can_not_be_written_is_not_run(server, client):
+    with pytest.raises(UpstreamFailure) as failure:
+        client.send(work(headers=(("x", "a\r\nb: c"),)), b"", PATIENCE_S)
+    assert (failure.value.outcome, failure.value.reason) == (
+        Outcome.NOT_RUN,
+        Reason.BAD_REQUEST,
+    )
+    assert server.requests == []
+
+
+def test_lookups_share_a_connection_and_each_order_has_its_own(server, client):
+    server.scripts = [[HEAD + b"Content-Length: 0\r\n\r\n"]] * 4
+    for request in (work(), work(), work("a@1.1/1"), work("a@1.1/2")):
+        read(client, request)
+    assert server.connections == 3
+
+
+def test_order_is_not_sent_again_when_its_connection_dies(server, client):
+    server.scripts = [[HEAD + b"Content-Length: 0\r\n\r\n"], [None]]
+    read(client)
+    with pytest.raises(UpstreamFailure) as failure:
+        read(client, work("a@1.1/1"))
+    assert failure.value.outcome is Outcome.UNKNOWN
+    assert len(server.requests) == 2
+
+
+def test_answer_that_trickles_past_the_deadline_is_given_up(server, client, clock):
+    late = threading.Event()
+
+    def pass_deadline():
+        clock.advance(PATIENCE_S)
+        late.set()
+
+    head = HEAD + b"Content-Length: 300000\r\n\r\n"
+    server.scripts = [[head, pass_deadline] + [b"x" * 1000] * 299]
+    answer = client.send(work(), b"", PATIENCE_S)
+    assert late.wait(PATIENCE_S)
+    with pytest.raises(UpstreamFailure) as failure:
+        list(answer.chunks)
+    assert (failure.value.outcome, failure.value.reason) == (
+        Outcome.UNKNOWN,
+        Reason.DEADLINE,
+    )
