Keep work in its region until only the way beyond keeps the deadline

Cause: the power of two choices sampled the whole fleet, so two requests in three crossed regions that had idle upstreams of their own. Change: the region first, beyond it once the region's best prediction takes more than half of the time left, within the budget of the row; the local upstream is always compared.

--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -1,5 +1,6 @@
 """Picks one gate by predicted completion, within the region where it can."""
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -17,6 +18,7 @@
 }
 SICK_PENALTY = 8.0
 SAMPLES = 2
+REGION_SHARE = 0.5  # of the time left; predictions rest on loads told some time ago
 
 
 @attrs.frozen
@@ -85,14 +87,16 @@
             near.append(candidate)
     if not near:
         return _choose_far(far, outstanding_by_upstream, rng, beyond_allowed)
+    enough_ms = remaining_ms * REGION_SHARE
     choice = _best(_sample(near, rng), outstanding_by_upstream)
-    if choice.predicted_ms <= remaining_ms:
+    if choice.predicted_ms <= enough_ms:
         return choice
     choice = _best(near, outstanding_by_upstream)
-    if choice.predicted_ms <= remaining_ms or not (far and beyond_allowed):
+    if choice.predicted_ms <= enough_ms or not (far and beyond_allowed):
         return choice
-    beyond = _best(far, outstanding_by_upstream)
-    return beyond if beyond.predicted_ms <= remaining_ms else choice
+    beyond = _best(_sample(far, rng), outstanding_by_upstream)
+    in_time = beyond.predicted_ms <= remaining_ms
+    return beyond if in_time and beyond.predicted_ms < choice.predicted_ms else choice
 
 
 def _choose_far(
@@ -119,8 +123,12 @@
 def _best(
     candidates: list[Candidate], outstanding_by_upstream: Mapping[str, int]
 ) -> Choice:
-    choices = [
-        Choice(c, predict_ms(c, outstanding_by_upstream.get(c.digest.upstream, 0)))
-        for c in candidates
-    ]
-    return min(choices, key=lambda choice: choice.predicted_ms)
+    best = None
+    best_ms = math.inf
+    for candidate in candidates:
+        sent = outstanding_by_upstream.get(candidate.digest.upstream, 0)
+        predicted_ms = predict_ms(candidate, sent)
+        if best is None or predicted_ms < best_ms:
+            best = candidate
+            best_ms = predicted_ms
+    return Choice(best, best_ms)
