--- a/chicorychute/transport/operator.py
+++ b/chicorychute/transport/operator.py
@@ -6,11 +6,14 @@
 import cherrypy
 from cheroot import wsgi
 
+from chicorychute.table.rows import Table
+from chicorychute.telemetry.prometheus import CONTENT_TYPE
+
 OPERATOR_THREADS = 4
 
 
 class OperatorPages:
-    """Pages ``/live``, ``/ready`` and ``/status``.
+    """Pages ``/live``, ``/ready``, ``/status``, ``/metrics`` and ``/table``.
 
     Parameters
     ----------
@@ -18,11 +21,39 @@
         Returns an empty text if the daemon serves, else why it does not.
     status : callable
         Returns the status as JSON values.
+    metrics : callable
+        Returns the metrics as Prometheus text.
+    table : callable
+        Returns the table in force.
     """
 
-    def __init__(self, ready: Callable[[], str], status: Callable[[], dict]):
+    def __init__(
+        self,
+        ready: Callable[[], str],
+        status: Callable[[], dict],
+        metrics: Callable[[], str],
+        table: Callable[[], Table | None],
+    ):
         self._ready = ready
         self._status = status
+        self._metrics = metrics
+        self._table = table
+
+    @cherrypy.expose
+    def index(self) -> str:
+        """Name the pages."""
+        return "/live\n/ready\n/status\n/metrics\n/table\n"
+
+    @cherrypy.expose
+    def table(self) -> bytes:
+        """Answer the text of the table in force."""
+        table = self._table()
+        if table is None:
+            cherrypy.response.status = 503
+            return b"no table yet\n"
+        cherrypy.response.headers["Content-Type"] = "text/csv; charset=utf-8"
+        cherrypy.response.headers["Chute-Table-Version"] = str(table.version)
+        return table.text.encode()
 
     @cherrypy.expose
     def live(self) -> str:
@@ -44,6 +75,12 @@
         """Answer the status as JSON."""
         return self._status()
 
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Answer the metrics."""
+        cherrypy.response.headers["Content-Type"] = CONTENT_TYPE
+        return self._metrics().encode()
+
 
 class OperatorServer:
     """Small server for the operators' pages."""
@@ -51,6 +88,7 @@
     def __init__(self, pages: OperatorPages, address: tuple[str, int]):
         application = cherrypy.Application(pages, "")
         application.log.screen = False
+        application.merge({"/": {"request.show_tracebacks": False}})
         self._server = wsgi.Server(address, application, numthreads=OPERATOR_THREADS)
         self._thread = threading.Thread(
             target=self._server.serve, name="operator", daemon=True
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -1,12 +1,13 @@
 """Sends one request to an upstream over HTTP."""
 
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import urllib3
 
 from chicorychute.core.clock import Clock
+from chicorychute.core.lines import is_line, is_word
 from chicorychute.core.messages import Headers, Work
 from chicorychute.core.outcomes import Outcome, Reason
 
@@ -100,11 +101,7 @@
         except UpstreamFailure:
             self._release(pool)
             raise
-        kept = tuple(
-            (name, value)
-            for name, value in answer.headers.items()
-            if name.lower() not in HOP_BY_HOP
-        )
+        kept = _kept_headers(answer.headers.items())
 
         def close() -> None:
             answer.close()
@@ -149,6 +146,17 @@
             pool.close()
 
 
+def _kept_headers(given: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers to pass on, in a form that every peer takes."""
+    kept = []
+    for name, value in given:
+        if not is_line(value):
+            value = " ".join(value.split())  # a value folded over several lines
+        if name.lower() not in HOP_BY_HOP and is_word(name) and is_line(value):
+            kept.append((name, value))
+    return tuple(kept)
+
+
 def _request(
     pool: urllib3.HTTPConnectionPool, work: Work, body: bytes, timeout_s: float
 ) -> urllib3.HTTPResponse:
