--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -142,6 +142,14 @@
     last: bool
 
 
+@attrs.frozen
+class AnswerCredit:
+    """Allows the sender of an answer that many further chunks."""
+
+    id: int
+    chunks: int
+
+
 @attrs.frozen
 class Refusal:
     """End of a request without a whole answer."""
@@ -276,4 +284,5 @@
     | QuarantineNotice
     | ProbeRequest
     | TableAnnounce
+    | AnswerCredit
 )
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -12,6 +12,7 @@
 from chicorychute.core.messages import (
     PROTOCOL_VERSION,
     AnswerChunk,
+    AnswerCredit,
     AnswerHead,
     BodyChunk,
     Cancel,
@@ -289,7 +290,10 @@
                 self._peers.on_call(link, message)
             case BodyChunk():
                 self._peers.on_body(link, message)
+            case AnswerCredit():
+                link.windows.credit(message.id, message.chunks)
             case Cancel():
+                link.windows.cancel(message.id)
                 self._peers.on_cancel(link, message)
             case AnswerHead() | AnswerChunk() | Refusal():
                 self._exchanges.on_part(link, message)
@@ -306,6 +310,7 @@
                 self._tables.on_update(link, message)
 
     def _on_closed(self, link: Link) -> None:
+        link.windows.close()
         self._exchanges.on_closed(link)
         self._peers.on_closed(link)
 
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -177,8 +177,7 @@
     def _start(
         self, key: OrderKey, run: _Run, request: Request, handler: Handler
     ) -> None:
-        limit_s = request.row.deadline_ms / 1000
-        own = attrs.evolve(request, deadline_s=request.received_s + limit_s)
+        own = _detached(request)
         try:
             self._pool.submit(self._run, key, run, own, handler)
         except RuntimeError as error:
@@ -211,6 +210,26 @@
         run.done.set()
 
 
+def _detached(request: Request) -> Request:
+    """Return the request as the home runs it, whatever its caller does."""
+    limit_s = request.row.deadline_ms / 1000
+    return Request(
+        request.method,
+        request.target,
+        request.headers,
+        request.body,
+        request.team,
+        request.key,
+        request.traceparent,
+        request.received_s,
+        deadline_s=request.received_s + limit_s,
+        row=request.row,
+        attempt=request.attempt,
+        relayed=request.relayed,
+        ruled=True,
+    )
+
+
 def _collect(reply: Reply) -> StoredAnswer | Refused:
     if isinstance(reply, Refused):
         return reply
--- a/chicorychute/services/exchanges.py
+++ b/chicorychute/services/exchanges.py
@@ -9,6 +9,7 @@
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import (
     AnswerChunk,
+    AnswerCredit,
     AnswerHead,
     BodyChunk,
     Cancel,
@@ -19,6 +20,7 @@
 from chicorychute.transport.links import Link, LinkError
 
 CHUNK_BYTES = 64 << 10
+CREDIT_CHUNKS = 8  # half of a sender's window, so that it seldom waits
 
 AnswerPart = AnswerHead | AnswerChunk | Refusal
 
@@ -66,6 +68,12 @@
         with self._lock:
             self._exchange_by_id.pop(exchange.id, None)
 
+    def cancel(self, exchange: Exchange) -> None:
+        """Forget an exchange and tell the peer that its answer is not wanted."""
+        self.close(exchange)
+        with contextlib.suppress(LinkError):
+            exchange.link.send(Cancel(exchange.id))
+
     def on_part(self, link: Link, part: AnswerPart) -> None:
         """Hand a part to its exchange, if it came on the exchange's link."""
         exchange = self._exchange_by_id.get(part.id)
@@ -87,7 +95,7 @@
         try:
             part = self.next_part(exchange, deadline_s)
         except queue.Empty:
-            self.close(exchange)
+            self.cancel(exchange)
             return Refused(Outcome.UNKNOWN, Reason.DEADLINE, "no answer in time")
         match part:
             case Refusal(_, outcome, reason, detail):
@@ -125,6 +133,7 @@
         self._exchange = exchange
         self._deadline_s = deadline_s
         self._first = head.body
+        self._taken = 0
         self._last = head.last
 
     def __iter__(self) -> Iterator[bytes]:
@@ -146,12 +155,21 @@
             self._exchanges.close(self._exchange)
             raise AnswerBroken("the upstream was lost in mid answer")
         self._last = part.last
+        self._give_credit()
         return part.data
 
+    def _give_credit(self) -> None:
+        self._taken += 1
+        if self._taken < CREDIT_CHUNKS or self._last:
+            return
+        self._taken = 0
+        with contextlib.suppress(LinkError):
+            self._exchange.link.send(AnswerCredit(self._exchange.id, CREDIT_CHUNKS))
+
     def close(self) -> None:
         """Give the rest up."""
-        self._exchanges.close(self._exchange)
-        if not self._last:
-            self._last = True
-            with contextlib.suppress(LinkError):
-                self._exchange.link.send(Cancel(self._exchange.id))
+        if self._last:
+            self._exchanges.close(self._exchange)
+            return
+        self._last = True
+        self._exchanges.cancel(self._exchange)
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -172,11 +172,16 @@
 def _send_answer(link: Link, id: int, reply: Answer) -> None:
     chunks = _lookahead(reply.chunks)
     first, last = next(chunks, (b"", True))
-    link.send(
-        AnswerHead(id, reply.status, reply.headers, reply.length, first, last, 0, 0)
-    )
-    for data, last in chunks:
-        link.send(AnswerChunk(id, data, last))
+    link.windows.open(id)
+    try:
+        link.send(
+            AnswerHead(id, reply.status, reply.headers, reply.length, first, last, 0, 0)
+        )
+        for data, last in chunks:
+            link.windows.take(id)
+            link.send(AnswerChunk(id, data, last))
+    finally:
+        link.windows.end(id)
 
 
 def _lookahead(chunks: Iterable[bytes]) -> Iterator[tuple[bytes, bool]]:
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -14,6 +14,7 @@
 from chicorychute.core.clock import Clock
 from chicorychute.core.lines import is_word
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
+from chicorychute.orders.token import parse_key
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
@@ -95,7 +96,7 @@
         except (ValueError, OSError, TooLarge, MaxSizeExceeded) as error:
             exchange.give_up_body()
             refused = _refusal_of(error, exchange.late)
-            if environ.get("HTTP_IDEMPOTENCY_KEY"):
+            if parse_key(environ.get("HTTP_IDEMPOTENCY_KEY", "")).is_ok():
                 # An earlier send under the same key may have run.
                 refused = attrs.evolve(refused, outcome=Outcome.UNKNOWN)
             self.on_refusal(refused.reason)
--- a/chicorychute/transport/link.py
+++ b/chicorychute/transport/link.py
@@ -12,20 +12,16 @@
 from websockets.protocol import State
 from websockets.server import ServerProtocol
 
-from chicorychute.core.exceptions import ChuteError
 from chicorychute.core.messages import Hello, Message
 from chicorychute.telemetry.tally import Tally
 from chicorychute.transport.codec import encode
+from chicorychute.transport.windows import AnswerWindows, LinkError
 
 SEND_TIMEOUT_S = 5.0
 HIGH_WATER_BYTES = 256 << 10  # senders wait above it
 MAX_UNSENT_BYTES = 32 << 20  # the reading thread can't wait, so it cuts above it
 
 
-class LinkError(ChuteError):
-    """A peer can't be reached, or a link to it is lost."""
-
-
 class LinkFault(enum.Enum):
     """Cause for which this side closed a link."""
 
@@ -95,6 +91,7 @@
         self.opened_s = opened_s
         self.peer: Hello | None = None
         self.clock = LinkClock()
+        self.windows = AnswerWindows()
         self.ready = threading.Event()
         self.closed = False
         self.fault: LinkFault | None = None
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -80,7 +80,7 @@
     def __init__(self, url: str, connections: int, clock: Clock):
         self._url = url
         self._clock = clock
-        self._pool = urllib3.connection_from_url(url, maxsize=connections, block=False)
+        self._pool = self._make_pool(connections)
 
     def send(self, work: Work, body: bytes, timeout_s: float) -> UpstreamAnswer:
         """Send a request and return its answer once the head has come.
@@ -94,7 +94,7 @@
         deadline_s = self._clock.monotonic() + timeout_s
         pool = self._pool
         if work.key:
-            pool = urllib3.connection_from_url(self._url, maxsize=1)
+            pool = self._make_pool(1)
         try:
             answer = _request(pool, work, body, timeout_s)
             length = _length_of(answer)
@@ -110,6 +110,9 @@
         chunks = self._chunks(answer, deadline_s, pool)
         return UpstreamAnswer(answer.status, kept, length, chunks, close)
 
+    def _make_pool(self, connections: int) -> urllib3.HTTPConnectionPool:
+        return urllib3.connection_from_url(self._url, maxsize=connections, block=False)
+
     def _chunks(
         self,
         answer: urllib3.HTTPResponse,
--- a/tests/pipeline/test_once.py
+++ b/tests/pipeline/test_once.py
@@ -240,3 +240,16 @@
     upstream.may_answer.set()
     home.filter(upstream)(request(key))
     assert home.idle()
+
+
+def test_order_is_run_apart_from_what_its_caller_does(home):
+    seen = []
+
+    def handler(own):
+        seen.append(own)
+        return answer()
+
+    first = request(f"{home.home()}/1", attempt=1)
+    home.filter(handler)(first)
+    assert seen[0] is not first
+    assert (seen[0].key, seen[0].attempt, seen[0].row) == (first.key, 1, ROW)
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -22,6 +22,7 @@
     messages.Cancel(1),
     messages.AnswerHead(1, 200, (("a", "b"),), 3, b"abc", True, 0, 1),
     messages.AnswerChunk(1, b"x", False),
+    messages.AnswerCredit(1, 8),
     messages.Refusal(1, Outcome.NOT_RUN, Reason.OVERLOAD, "full"),
     messages.Gossip("i1", True, (RECORD,)),
     messages.TableRequest(3),
