--- a/chicorychute/conf/settings.py
+++ b/chicorychute/conf/settings.py
@@ -104,7 +104,7 @@
             return None
         if len(found) < len(defaults.UPSTREAM_KEYS):
             return None
-        return UpstreamSettings(name, found["service"], found["url"])
+        return UpstreamSettings(name, found["service"], found["url"], found["probe"])
 
     def _read_section(self, section: str, keys: Iterable[Key]) -> dict[str, Any]:
         key_by_name = {key.name: key for key in keys}
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -16,6 +16,7 @@
     Distance.REGION: 2.0,
     Distance.BEYOND: 60.0,
 }
+EJECTED = frozenset((Verdict.SICK, Verdict.PROBING))
 SICK_PENALTY = 8.0
 SAMPLES = 2
 REGION_SHARE = 0.5  # of the time left; predictions rest on loads told some time ago
@@ -49,7 +50,7 @@
     ahead = max(digest.queued + digest.in_flight, sent) + 1
     rounds = max(1.0, ahead / max(digest.slots * digest.weight, 1.0))
     predicted = TRAVEL_MS[candidate.distance] + rounds * service_ms
-    if digest.verdict is Verdict.SICK:
+    if digest.verdict in EJECTED:
         predicted *= SICK_PENALTY
     return predicted
 
@@ -59,15 +60,17 @@
     outstanding_by_upstream: Mapping[str, int],
     tried: frozenset[str],
     rng: random.Random,
-    remaining_ms: float,
-    beyond_allowed: bool,
+    remaining_ms: float = math.inf,
+    beyond_allowed: bool = True,
 ) -> Choice | NoChoice:
     """Choose a gate not tried yet.
 
     The better of two random candidates of the region, the local one always
     among those compared, is taken if it can answer in time. Otherwise the best
     of the region, and beyond the region only if no other keeps the deadline.
-    Sampling two is the power of two choices (Mitzenmacher, 2001).
+    Sampling two is the power of two choices (Mitzenmacher, 2001). An ejected one
+    that the floor keeps is a third choice, so that it gets the least work, and one
+    on trial is taken at once.
 
     Parameters
     ----------
@@ -87,6 +90,9 @@
             near.append(candidate)
     if not near:
         return _choose_far(far, outstanding_by_upstream, rng, beyond_allowed)
+    trials = [c for c in near if c.trial]
+    if trials:
+        return _best([rng.choice(trials)], outstanding_by_upstream)
     enough_ms = remaining_ms * REGION_SHARE
     choice = _best(_sample(near, rng), outstanding_by_upstream)
     if choice.predicted_ms <= enough_ms:
@@ -109,15 +115,21 @@
         return NoChoice(Reason.NO_UPSTREAM)
     if not beyond_allowed:
         return NoChoice(Reason.REGION_BUDGET)
+    trials = [c for c in far if c.trial]
+    if trials:
+        return _best([rng.choice(trials)], outstanding_by_upstream)
     return _best(_sample(far, rng), outstanding_by_upstream)
 
 
 def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
     if len(candidates) <= SAMPLES:
         return candidates
-    picked = rng.sample(candidates, SAMPLES)
-    local = [c for c in candidates if c.distance == Distance.LOCAL]
-    return picked + local
+    healthy = [c for c in candidates if c.digest.verdict not in EJECTED]
+    ejected = [c for c in candidates if c.digest.verdict in EJECTED]
+    picked = rng.sample(healthy, min(SAMPLES, len(healthy)))
+    picked += rng.sample(ejected, min(1, len(ejected)))
+    picked += [c for c in healthy if c.distance == Distance.LOCAL]
+    return picked
 
 
 def _best(
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -34,7 +34,7 @@
 from chicorychute.services.exchanges import CHUNK_BYTES, Exchanges, send_body_rest
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
-from chicorychute.table.rows import Row
+from chicorychute.table.rows import Repeat, Row
 from chicorychute.transport.links import LinkError, LinkHub
 
 HEAD_BYTES = 500  # head of a request and of its answer on a link
@@ -129,7 +129,10 @@
 
     def _choose(self, request: Request, tried: frozenset[str]) -> Choice | NoChoice:
         row = request.row
-        candidates = eligible(self._fleet.candidates(row.service), row.floor)
+        # An order is no request to try a doubtful upstream with.
+        draw = self._rng.random() if row.repeat is Repeat.IDEMPOTENT else 1.0
+        known = self._fleet.candidates(row.service)
+        candidates = eligible(known, row.floor, draw)
         remaining_s = request.deadline_s - self._clock.monotonic()
         with self._lock:
             beyond_allowed = self._region_budget(row.service).allows(
