--- a/chicorychute/orders/token.py
+++ b/chicorychute/orders/token.py
@@ -14,6 +14,8 @@
     r"/(?P<unique>[A-Za-z0-9._~:-]{1,64})"
 )
 
+HOME_PATTERN = re.compile(r".+@[0-9]+\.[0-9]+/.+", re.DOTALL)
+
 
 @attrs.frozen
 class HomeToken:
@@ -50,10 +52,15 @@
 
 
 def parse_key(text: str) -> Result[OrderKey, Reason]:
-    """Read an ``Idempotency-Key`` header; Err says what to tell the caller."""
+    """Read an ``Idempotency-Key`` header; Err says what to tell the caller.
+
+    A text that names a home but breaks the rules of a key is told as one of a
+    home that is lost: another release may have taken it.
+    """
     found = KEY_PATTERN.fullmatch(text)
     if found is None or len(text) > KEY_MAX_CHARS:
-        return Err(Reason.KEY_REQUIRED)
+        named = HOME_PATTERN.fullmatch(text)
+        return Err(Reason.HOME_LOST if named else Reason.KEY_REQUIRED)
     token = HomeToken(
         found["instance"], int(found["incarnation"]), int(found["minted"])
     )
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -125,7 +125,8 @@
             request.ruled = True
             match parse_key(request.key):
                 case Err(reason):
-                    return Refused(Outcome.NOT_RUN, reason)
+                    outcome = DENIED_OUTCOMES.get(reason, Outcome.NOT_RUN)
+                    return Refused(outcome, reason, "the key is malformed")
                 case Ok(key) if not self._ledger.owns(key):
                     return self._relay(request, key)
                 case Ok(key):
--- a/chicorychute/services/drain.py
+++ b/chicorychute/services/drain.py
@@ -65,8 +65,14 @@
         """Wait no longer for requests in flight."""
         self._cut.set()
 
-    def run(self) -> None:
-        """Leave, and return once nothing is in flight or the limit is over."""
+    def run(self) -> bool:
+        """Leave, and return once nothing is in flight or the limit is over.
+
+        Returns
+        -------
+        bool
+            Whether no request was cut.
+        """
         end_s = self._clock.monotonic() + self._limit_s
         self.leave()
         self._cut.wait(min(SETTLE_S, self._limit_s))
@@ -74,7 +80,7 @@
         while not self._empty() and self._clock.monotonic() < end_s:
             if self._cut.wait(POLL_S):
                 break
-        self._report()
+        return self._report()
 
     def on_forward(self, link: Link, call: Forward) -> bool:
         """Refuse a peer's request if the gate is closing; returns whether it did."""
@@ -88,16 +94,18 @@
         quiet = self._leaving.quiet_s() >= QUIET_S
         return self._gate.idle() and quiet and not self._busy()
 
-    def _report(self) -> None:
+    def _report(self) -> bool:
         digests = self._gate.digests()
         running = sum(digest.in_flight for digest in digests)
         waiting = sum(digest.queued for digest in digests)
         entered = self._leaving.in_flight
-        if running or waiting or entered:
-            logger.warning(
-                "daemon: requests were cut",
-                by="a second signal" if self._cut.is_set() else "the drain limit",
-                answering=entered,
-                running=running,
-                waiting=waiting,
-            )
+        if not (running or waiting or entered):
+            return True
+        logger.warning(
+            "daemon: requests were cut",
+            by="a second signal" if self._cut.is_set() else "the drain limit",
+            answering=entered,
+            running=running,
+            waiting=waiting,
+        )
+        return False
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -1,9 +1,11 @@
 import json
+import resource
 import socket
 
 import pytest
 
 from chicorychute.core.management import command_names, main, text
+from chicorychute.core.management.commands.run import raise_file_limit
 from tests.conf.test_settings import GOOD
 from tests.table.test_parse import LOOKUP, line, table
 
@@ -146,6 +148,17 @@
         assert "does not answer" in shown
 
 
+def test_page_that_is_no_status_is_one_line(capsys, monkeypatch):
+    class Answer:
+        data = b"<html>"
+
+    module = "chicorychute.core.management.commands.status.fetch"
+    monkeypatch.setattr(module, lambda url: Answer)
+    assert main(["status"]) == 1
+    (shown,) = capsys.readouterr().err.splitlines()
+    assert "gave no status" in shown
+
+
 def test_status_fits_a_terminal_and_names_the_sick_first(daemon, capsys, monkeypatch):
     monkeypatch.setattr(text, "is_terminal", lambda: True)
     monkeypatch.setattr(text, "width", lambda: 80)
@@ -201,3 +214,13 @@
     heading, first, _ = capsys.readouterr().out.splitlines()
     assert heading.split("\t")[0] == "service"
     assert first.split("\t")[2] == "POST /orders"
+
+
+def test_run_takes_every_file_descriptor_it_may_have():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 256), hard))
+    try:
+        raise_file_limit()
+        assert resource.getrlimit(resource.RLIMIT_NOFILE) == (hard, hard)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
