--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -15,6 +15,7 @@
 from chicorychute.core.messages import (
     PROTOCOL_VERSION,
     AnswerChunk,
+    AnswerCredit,
     AnswerHead,
     BodyChunk,
     Cancel,
@@ -100,6 +101,7 @@
         )
         self._rng = random.Random()
         self._stop_asked = threading.Event()
+        self._edge_listens = False
         self._build()
 
     def _build(self) -> None:
@@ -174,19 +176,27 @@
         leaving = Leaving(clock)
         limit_s = get("shutdown", "drain_limit_s").total_seconds()
         self._drain = DrainService(
-            leaving, self._fleet, self._gate, senders, limit_s, clock
+            leaving,
+            self._fleet,
+            self._gate,
+            senders,
+            limit_s,
+            clock,
+            lambda: not self._home.idle(),
         )
         entry = EntryService(
             self._gate, self._fleet, self._exchanges, hub, clock, self._rng
         )
         ledger = OrderLedger(instance, incarnation, clock)
-        home = OrderHome(ledger, entry.relay)
+        home = OrderHome(ledger, entry.relay, clock)
+        self._home = home
         self._seats = ServerSeats(get("edge", "threads"))
         handle = chain(
             [
                 leaving.count,
                 filters.trace(tracing, "entry"),
                 measure(telemetry.requests, clock),
+                home.guard,
                 filters.route(self._tables.routes),
                 self._seats.filter,
                 leaving.refuse,
@@ -265,8 +275,10 @@
         for ticker in self._tickers:
             ticker.start()
         self._edge.start()
+        self._edge_listens = True
         logger.info("daemon: serving", instance=self._fleet.own().instance)
         self._stop_asked.wait()
+        self._home.leave()
         if not self._drain.run():
             # The servers would wait for every thread that waits for an upstream.
             logger.info("daemon: stopped")
@@ -280,6 +292,7 @@
         self._stop_asked.set()
 
     def _on_listed_leaving(self) -> None:
+        self._home.leave()
         self._drain.leave()
 
     def _stop(self) -> None:
@@ -316,7 +329,9 @@
     def _why_not_ready(self) -> str:
         if self._stop_asked.is_set():
             return "leaving"
-        return "" if self._tables.version else "no table yet"
+        if not self._tables.version:
+            return "no table yet"
+        return "" if self._edge_listens else "the edge does not listen yet"
 
     def _on_message(self, link: Link, message: Message) -> None:
         match message:
@@ -326,7 +341,10 @@
                 self._peers.on_call(link, message)
             case BodyChunk():
                 self._peers.on_body(link, message)
+            case AnswerCredit():
+                link.windows.credit(message.id, message.chunks)
             case Cancel():
+                link.windows.cancel(message.id)
                 self._peers.on_cancel(link, message)
             case AnswerHead() | AnswerChunk() | Refusal():
                 self._exchanges.on_part(link, message)
@@ -345,6 +363,7 @@
                 self._gate.on_notice(message)
 
     def _on_closed(self, link: Link) -> None:
+        link.windows.close()
         self._exchanges.on_closed(link)
         self._peers.on_closed(link)
 
--- a/chicorychute/replay/player.py
+++ b/chicorychute/replay/player.py
@@ -41,7 +41,7 @@
 )
 from chicorychute.routing.budget import RetryBudget
 from chicorychute.routing.candidates import Candidate, Distance, eligible
-from chicorychute.routing.choice import choose
+from chicorychute.routing.choice import NoChoice, choose
 from chicorychute.table.parse import parse_table
 from chicorychute.table.rows import Repeat, Row, Table
 
@@ -243,7 +243,7 @@
         if bound.id in left:
             return bound
         choice = choose(kept, {}, tried, self._rng)
-        if choice is None:
+        if isinstance(choice, NoChoice):
             return None
         return self._upstream_by_id[choice.candidate.digest.upstream]
 
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -1,10 +1,13 @@
-"""Picks one gate by predicted completion, nearest first."""
+"""Picks one gate by predicted completion, within the region where it can."""
 
+import math
 import random
+from collections.abc import Mapping
 
 import attrs
 
 from chicorychute.core.messages import Verdict
+from chicorychute.core.outcomes import Reason
 from chicorychute.routing.candidates import Candidate, Distance
 
 TRAVEL_MS = {
@@ -15,6 +18,8 @@
 }
 EJECTED = frozenset((Verdict.SICK, Verdict.PROBING))
 SICK_PENALTY = 8.0
+SAMPLES = 2
+REGION_SHARE = 0.5  # of the time left; predictions rest on loads told some time ago
 
 
 @attrs.frozen
@@ -25,6 +30,13 @@
     predicted_ms: float
 
 
+@attrs.frozen
+class NoChoice:
+    """No gate may be sent to."""
+
+    reason: Reason
+
+
 def predict_ms(candidate: Candidate, sent: int) -> float:
     """Return the predicted time to an answer.
 
@@ -45,29 +57,90 @@
 
 def choose(
     candidates: list[Candidate],
-    outstanding_by_upstream: dict[str, int],
+    outstanding_by_upstream: Mapping[str, int],
     tried: frozenset[str],
     rng: random.Random,
-) -> Choice | None:
-    """Choose the better of two random candidates not tried yet.
+    remaining_ms: float = math.inf,
+    beyond_allowed: bool = True,
+) -> Choice | NoChoice:
+    """Choose a gate not tried yet.
 
-    The method is the power of two choices (Mitzenmacher, 2001). An ejected one
+    The better of two random candidates of the region, the local one always
+    among those compared, is taken if it can answer in time. Otherwise the best
+    of the region, and beyond the region only if no other keeps the deadline.
+    Sampling two is the power of two choices (Mitzenmacher, 2001). An ejected one
     that the floor keeps is a third choice, so that it gets the least work, and one
     on trial is taken at once.
+
+    Parameters
+    ----------
+    remaining_ms : float
+        Time left before the deadline.
+    beyond_allowed : bool
+        Whether the budget of bytes beyond the region has something left.
     """
-    fresh = [c for c in candidates if c.digest.upstream not in tried]
-    if not fresh:
-        return None
-    trials = [c for c in fresh if c.trial]
+    near = []
+    far = []
+    for candidate in candidates:
+        if candidate.digest.upstream in tried:
+            continue
+        if candidate.distance == Distance.BEYOND:
+            far.append(candidate)
+        else:
+            near.append(candidate)
+    if not near:
+        return _choose_far(far, outstanding_by_upstream, rng, beyond_allowed)
+    trials = [c for c in near if c.trial]
     if trials:
-        trial = rng.choice(trials)
-        return Choice(trial, predict_ms(trial, 0))
-    healthy = [c for c in fresh if c.digest.verdict not in EJECTED]
-    ejected = [c for c in fresh if c.digest.verdict in EJECTED]
-    picked = rng.sample(healthy, min(2, len(healthy)))
+        return _best([rng.choice(trials)], outstanding_by_upstream)
+    enough_ms = remaining_ms * REGION_SHARE
+    choice = _best(_sample(near, rng), outstanding_by_upstream)
+    if choice.predicted_ms <= enough_ms:
+        return choice
+    choice = _best(near, outstanding_by_upstream)
+    if choice.predicted_ms <= enough_ms or not (far and beyond_allowed):
+        return choice
+    beyond = _best(_sample(far, rng), outstanding_by_upstream)
+    in_time = beyond.predicted_ms <= remaining_ms
+    return beyond if in_time and beyond.predicted_ms < choice.predicted_ms else choice
+
+
+def _choose_far(
+    far: list[Candidate],
+    outstanding_by_upstream: Mapping[str, int],
+    rng: random.Random,
+    beyond_allowed: bool,
+) -> Choice | NoChoice:
+    if not far:
+        return NoChoice(Reason.NO_UPSTREAM)
+    if not beyond_allowed:
+        return NoChoice(Reason.REGION_BUDGET)
+    trials = [c for c in far if c.trial]
+    if trials:
+        return _best([rng.choice(trials)], outstanding_by_upstream)
+    return _best(_sample(far, rng), outstanding_by_upstream)
+
+
+def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
+    if len(candidates) <= SAMPLES:
+        return candidates
+    healthy = [c for c in candidates if c.digest.verdict not in EJECTED]
+    ejected = [c for c in candidates if c.digest.verdict in EJECTED]
+    picked = rng.sample(healthy, min(SAMPLES, len(healthy)))
     picked += rng.sample(ejected, min(1, len(ejected)))
-    choices = [
-        Choice(c, predict_ms(c, outstanding_by_upstream.get(c.digest.upstream, 0)))
-        for c in picked
-    ]
-    return min(choices, key=lambda choice: choice.predicted_ms)
+    picked += [c for c in healthy if c.distance == Distance.LOCAL]
+    return picked
+
+
+def _best(
+    candidates: list[Candidate], outstanding_by_upstream: Mapping[str, int]
+) -> Choice:
+    best = None
+    best_ms = math.inf
+    for candidate in candidates:
+        sent = outstanding_by_upstream.get(candidate.digest.upstream, 0)
+        predicted_ms = predict_ms(candidate, sent)
+        if best is None or predicted_ms < best_ms:
+            best = candidate
+            best_ms = predicted_ms
+    return Choice(best, best_ms)
--- a/chicorychute/services/drain.py
+++ b/chicorychute/services/drain.py
@@ -1,6 +1,7 @@
 """Takes a daemon out of service without cutting a request."""
 
 import threading
+from collections.abc import Callable
 
 import structlog
 
@@ -27,6 +28,8 @@
     ----------
     limit_s : float
         Longest wait for requests in flight.
+    busy : callable
+        Returns whether an order still runs whose caller waits no longer.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         senders: Senders,
         limit_s: float,
         clock: Clock,
+        busy: Callable[[], bool] = lambda: False,
     ):
         self._leaving = leaving
         self._fleet = fleet
@@ -44,6 +48,7 @@
         self._senders = senders
         self._limit_s = limit_s
         self._clock = clock
+        self._busy = busy
         self._lock = threading.Lock()
         self._cut = threading.Event()
 
@@ -86,7 +91,8 @@
         return True
 
     def _empty(self) -> bool:
-        return self._gate.idle() and self._leaving.quiet_s() >= QUIET_S
+        quiet = self._leaving.quiet_s() >= QUIET_S
+        return self._gate.idle() and quiet and not self._busy()
 
     def _report(self) -> bool:
         digests = self._gate.digests()
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -83,7 +83,7 @@
                 settings,
                 UpstreamSlots(settings.id, clock, quarantine),
                 UpstreamJudge(clock, cold=True),
-                UpstreamClient(settings.url, POOL_THREADS),
+                UpstreamClient(settings.url, POOL_THREADS, clock),
             )
             for settings in upstreams
         }
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Callable, Iterable
 
+import attrs
 import cherrypy
 import structlog
 from cheroot import wsgi
@@ -13,6 +14,7 @@
 from chicorychute.core.clock import Clock
 from chicorychute.core.lines import is_word
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
+from chicorychute.orders.token import parse_key
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
@@ -99,6 +101,9 @@
         except (ValueError, OSError, TooLarge, MaxSizeExceeded) as error:
             exchange.give_up_body()
             refused = _refusal_of(error, exchange.late)
+            if parse_key(environ.get("HTTP_IDEMPOTENCY_KEY", "")).is_ok():
+                # An earlier send under the same key may have run.
+                refused = attrs.evolve(refused, outcome=Outcome.UNKNOWN)
             self.on_refusal(refused.reason)
             return self._refuse(refused, environ, start_response)
         exchange.finish_reading()
--- a/tests/transport/test_upstream_headers.py
+++ b/tests/transport/test_upstream_headers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chicorychute.core.clock import ManualClock
 from chicorychute.core.lines import is_line, is_word
 from chicorychute.core.messages import Work
 from chicorychute.transport.upstream import UpstreamClient
@@ -36,7 +37,7 @@
         thread = threading.Thread(target=serve)
         thread.start()
         url = f"http://127.0.0.1:{server.getsockname()[1]}"
-        found = UpstreamClient(url, 1).send(WORK, b"", 10.0)
+        found = UpstreamClient(url, 1, ManualClock()).send(WORK, b"", 10.0)
         body = b"".join(found.chunks)
         thread.join()
     assert body == b"ok"
