Predict a gate's answer by the wait of the request's own rank

Cause: the entry compared gates by their whole queue, so a flood of the least urgent work made a gate look late to urgent requests that would have gone first, and could send them beyond their region.

Ruled out: counting only the requests of the same rank in the digest: the gate's own prediction already knows the order among ranks.

Change: `predict_ms` uses the wait that each digest tells for the rank, and the entry counts what it has outstanding for each rank.

Measured: the two new tests of tests/routing/test_choice.py failed before (the choice had no rank) and pass after, beside the 14 others.

--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from chicorychute.core.messages import Verdict
+from chicorychute.core.messages import UpstreamDigest, Verdict
 from chicorychute.core.outcomes import Reason
 from chicorychute.routing.candidates import Candidate, Distance
 
@@ -37,24 +37,38 @@
     reason: Reason
 
 
-def predict_ms(candidate: Candidate, sent: int) -> float:
+def predict_ms(candidate: Candidate, sent: int, rank: str = "") -> float:
     """Return the predicted time to an answer.
 
     Parameters
     ----------
     sent : int
-        Requests that this entry has outstanding at the upstream.
+        Requests of the rank that this entry has outstanding at the upstream.
+    rank : str
+        Rank whose wait counts; where the gate tells none, the whole queue does.
     """
     digest = candidate.digest
     service_ms = max(digest.latency_ms, 1.0)
-    ahead = max(digest.queued + digest.in_flight, sent) + 1
-    rounds = max(1.0, ahead / max(digest.slots * digest.weight, 1.0))
-    predicted = TRAVEL_MS[candidate.distance] + rounds * service_ms
+    capacity = max(digest.slots * digest.weight, 1.0)
+    wait_ms = _told_wait_ms(digest, rank)
+    if wait_ms is None:
+        ahead = max(digest.queued + digest.in_flight, sent) + 1
+        wait_ms = max(0.0, ahead / capacity - 1) * service_ms
+    else:
+        wait_ms = max(wait_ms, max(0.0, (sent + 1) / capacity - 1) * service_ms)
+    predicted = TRAVEL_MS[candidate.distance] + wait_ms + service_ms
     if digest.verdict in EJECTED:
         predicted *= SICK_PENALTY
     return predicted
 
 
+def _told_wait_ms(digest: UpstreamDigest, rank: str) -> float | None:
+    for wait in digest.waits:
+        if wait.rank == rank:
+            return wait.wait_ms
+    return None
+
+
 def choose(
     candidates: list[Candidate],
     outstanding_by_upstream: Mapping[str, int],
@@ -62,6 +76,7 @@
     rng: random.Random,
     remaining_ms: float = math.inf,
     beyond_allowed: bool = True,
+    rank: str = "",
 ) -> Choice | NoChoice:
     """Choose a gate not tried yet.
 
@@ -78,7 +93,10 @@
         Time left before the deadline.
     beyond_allowed : bool
         Whether the budget of bytes beyond the region has something left.
+    rank : str
+        Rank of the request, whose wait each gate tells.
     """
+    predict = _Predictor(outstanding_by_upstream, rank)
     near = []
     far = []
     for candidate in candidates:
@@ -89,25 +107,25 @@
         else:
             near.append(candidate)
     if not near:
-        return _choose_far(far, outstanding_by_upstream, rng, beyond_allowed)
+        return _choose_far(far, predict, rng, beyond_allowed)
     trials = [c for c in near if c.trial]
     if trials:
-        return _best([rng.choice(trials)], outstanding_by_upstream)
+        return predict.best([rng.choice(trials)])
     enough_ms = remaining_ms * REGION_SHARE
-    choice = _best(_sample(near, rng), outstanding_by_upstream)
+    choice = predict.best(_sample(near, rng))
     if choice.predicted_ms <= enough_ms:
         return choice
-    choice = _best(near, outstanding_by_upstream)
+    choice = predict.best(near)
     if choice.predicted_ms <= enough_ms or not (far and beyond_allowed):
         return choice
-    beyond = _best(_sample(far, rng), outstanding_by_upstream)
+    beyond = predict.best(_sample(far, rng))
     in_time = beyond.predicted_ms <= remaining_ms
     return beyond if in_time and beyond.predicted_ms < choice.predicted_ms else choice
 
 
 def _choose_far(
     far: list[Candidate],
-    outstanding_by_upstream: Mapping[str, int],
+    predict: "_Predictor",
     rng: random.Random,
     beyond_allowed: bool,
 ) -> Choice | NoChoice:
@@ -117,8 +135,8 @@
         return NoChoice(Reason.REGION_BUDGET)
     trials = [c for c in far if c.trial]
     if trials:
-        return _best([rng.choice(trials)], outstanding_by_upstream)
-    return _best(_sample(far, rng), outstanding_by_upstream)
+        return predict.best([rng.choice(trials)])
+    return predict.best(_sample(far, rng))
 
 
 def _sample(candidates: list[Candidate], rng: random.Random) -> list[Candidate]:
@@ -132,15 +150,21 @@
     return picked
 
 
-def _best(
-    candidates: list[Candidate], outstanding_by_upstream: Mapping[str, int]
-) -> Choice:
-    best = None
-    best_ms = math.inf
-    for candidate in candidates:
-        sent = outstanding_by_upstream.get(candidate.digest.upstream, 0)
-        predicted_ms = predict_ms(candidate, sent)
-        if best is None or predicted_ms < best_ms:
-            best = candidate
-            best_ms = predicted_ms
-    return Choice(best, best_ms)
+class _Predictor:
+    """Compares candidates for one request."""
+
+    def __init__(self, outstanding_by_upstream: Mapping[str, int], rank: str):
+        self._outstanding_by_upstream = outstanding_by_upstream
+        self._rank = rank
+
+    def best(self, candidates: list[Candidate]) -> Choice:
+        """Return the candidate predicted to answer first."""
+        best = None
+        best_ms = math.inf
+        for candidate in candidates:
+            sent = self._outstanding_by_upstream.get(candidate.digest.upstream, 0)
+            predicted_ms = predict_ms(candidate, sent, self._rank)
+            if best is None or predicted_ms < best_ms:
+                best = candidate
+                best_ms = predicted_ms
+        return Choice(best, best_ms)
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -4,7 +4,7 @@
 import queue
 import random
 import threading
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 import attrs
@@ -74,7 +74,8 @@
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._region_budget_by_service: dict[str, RegionBudget] = {}
-        self._outstanding_by_upstream: Counter[str] = Counter()
+        # Upstreams by rank: what waits behind a request is no load to it.
+        self._outstanding_by_rank: defaultdict[str, Counter[str]] = defaultdict(Counter)
 
     def handle(self, request: Request) -> Reply:
         """Send a request to gates until one answers or none may be tried."""
@@ -147,11 +148,12 @@
             )
         return choose(
             candidates,
-            self._outstanding_by_upstream,
+            self._outstanding_by_rank[row.rank],
             tried,
             self._rng,
             remaining_s * 1000,
             beyond_allowed,
+            row.rank,
         )
 
     def _region_budget(self, service: str) -> RegionBudget:
@@ -164,7 +166,8 @@
     def _send(self, request: Request, candidate: Candidate) -> Reply:
         upstream = candidate.digest.upstream
         with self._lock:
-            self._outstanding_by_upstream[upstream] += 1
+            outstanding = self._outstanding_by_rank[request.row.rank]
+            outstanding[upstream] += 1
         try:
             if candidate.distance == Distance.LOCAL:
                 return self._run_here(request, upstream)
@@ -174,7 +177,9 @@
             return reply
         finally:
             with self._lock:
-                self._outstanding_by_upstream[upstream] -= 1
+                outstanding[upstream] -= 1
+                if not outstanding[upstream]:
+                    del outstanding[upstream]
 
     def _forward(self, request: Request, candidate: Candidate) -> Reply:
         upstream = candidate.digest.upstream
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicorychute.core.clock import ManualClock
-from chicorychute.core.messages import UpstreamDigest, Verdict
+from chicorychute.core.messages import RankWait, UpstreamDigest, Verdict
 from chicorychute.core.outcomes import Reason
 from chicorychute.routing.budget import RegionBudget
 from chicorychute.routing.candidates import Candidate, Distance
@@ -70,6 +70,32 @@
     assert busy.candidate is not local
 
 
+def flooded(name, urgent_ms, check_ms):
+    waits = (RankWait("order", urgent_ms), RankWait("check", check_ms))
+    digest = UpstreamDigest(
+        name, "s", Verdict.HEALTHY, 4, 4, 400, 10.0, 0.0, 1.0, waits=waits
+    )
+    return Candidate(name, digest, Distance.REGION)
+
+
+def test_urgent_request_stays_near_a_flood_that_waits_behind_it():
+    candidates = [flooded(f"near-{n}", 5.0, 1000.0) for n in range(6)] + FAR
+    for rank, prefix in (("order", "near"), ("check", "far")):
+        choice = choose(
+            candidates, {}, frozenset(), random.Random(1), 500, True, rank=rank
+        )
+        assert choice.candidate.instance.startswith(prefix)
+
+
+def test_wait_of_the_rank_counts_and_not_the_whole_queue():
+    candidates = [flooded("short", 5.0, 900.0), flooded("long", 80.0, 100.0)]
+    for rank, name in (("order", "short"), ("check", "long")):
+        choice = choose(
+            candidates, {}, frozenset(), random.Random(1), 5000, True, rank=rank
+        )
+        assert choice.candidate.instance == name
+
+
 def test_upstream_that_was_tried_is_not_chosen_again():
     tried = frozenset(c.instance for c in NEAR)
     choice = choose(NEAR + FAR, {}, tried, random.Random(1), 500, True)
