Serve services of which the entry holds no detail through a host

Cause: above 64 daemons an entry has digests only of the services beside it, and refused a request for any other as if no upstream existed.

Ruled out: full detail everywhere, which breaks the 22 KB/s; a forward to any upstream of a random host, which ignores verdicts and the floor.

Change: the entry passes the request to the nearest live host of the service with `Relay.routing`, and that host only chooses the gate: the home of an order stays the one that ruled on it. A second host is tried only after a proved not-run.

--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -86,13 +86,21 @@
 
 @attrs.frozen
 class Relay:
-    """Asks a daemon to act as the entry, or home, of a request."""
+    """Asks a daemon to act as the entry, or home, of a request.
+
+    Attributes
+    ----------
+    routing : bool
+        Whether the receiver shall only choose a gate: the sender holds no detail
+        on the service, and the home of an order has ruled on it.
+    """
 
     id: int
     sent_s: float
     work: Work
     body: bytes
     more: bool
+    routing: bool = False
 
 
 @attrs.frozen
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -120,7 +120,7 @@
         """Let idempotent requests through and rule on the others."""
 
         def run(request: Request) -> Reply:
-            if request.row.repeat is RepeatPolicy.IDEMPOTENT:
+            if request.routing or request.row.repeat is RepeatPolicy.IDEMPOTENT:
                 return handler(request)
             request.ruled = True
             match parse_key(request.key):
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -90,6 +90,8 @@
         Stops the request where its caller goes away.
     ruled : bool
         Whether the home of the order has ruled on it, or was asked to.
+    routing : bool
+        Whether a peer without detail on the service passed it on for its routing.
     """
 
     method: str
@@ -107,6 +109,7 @@
     relayed: bool = False
     scope: CancelScope = attrs.field(factory=CancelScope)
     ruled: bool = False
+    routing: bool = False
 
     @property
     def path(self) -> str:
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -32,6 +32,7 @@
     eligible,
 )
 from chicorychute.routing.choice import Choice, NoChoice, choose
+from chicorychute.routing.hosts import may_try_another, nearest_hosts
 from chicorychute.services.exchanges import (
     CHUNK_BYTES,
     Exchange,
@@ -79,13 +80,31 @@
 
     def handle(self, request: Request) -> Reply:
         """Send a request to gates until one answers or none may be tried."""
+        known = self._fleet.candidates(request.row.service)
+        if known or request.routing:
+            return self._try_gates(request, known)
+        return self._try_hosts(request)
+
+    def _try_hosts(self, request: Request) -> Reply:
+        """Have a host of the service choose the gate."""
+        hosts = self._fleet.hosts(request.row.service)
+        reply: Reply = Refused(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
+        for host in nearest_hosts(self._fleet.own(), hosts, self._rng):
+            unreachable = Refused(Outcome.NOT_RUN, Reason.PEER_LOST)
+            reply = self._relay_to(request, host, unreachable, routing=True)
+            end = _end_of(reply)
+            if isinstance(end, Answered) or not may_try_another(end):
+                return reply
+        return reply
+
+    def _try_gates(self, request: Request, known: list[Candidate]) -> Reply:
         row = request.row
         budget = self._budget(row)
         attempts = Attempts(row.repeat, budget, request.deadline_s, request.attempt)
         tried: frozenset[str] = frozenset()
         reply: Reply = Refused(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
         while True:
-            choice = self._choose(request, tried)
+            choice = self._choose(request, known, tried)
             if isinstance(choice, NoChoice):
                 return reply if tried else Refused(Outcome.NOT_RUN, choice.reason)
             if not self._may_start(attempts, choice):
@@ -99,6 +118,7 @@
                 reply = attrs.evolve(reply, outcome=attempts.outcome)
             if isinstance(action, Stop) or request.scope.cancelled:
                 return reply
+            known = self._fleet.candidates(row.service)
 
     def relay(self, request: Request, key: OrderKey) -> Reply:
         """Pass an order on to its home."""
@@ -107,18 +127,25 @@
             case NoHome(reason):
                 return Refused(Outcome.UNKNOWN, reason)
             case RelayTo(record):
-                return self._relay_to(request, record)
+                # An earlier send of the same order may have reached the home.
+                lost = Refused(Outcome.UNKNOWN, Reason.HOME_UNREACHABLE)
+                return self._relay_to(request, record, lost)
 
-    def _relay_to(self, request: Request, record: MemberRecord) -> Reply:
+    def _relay_to(
+        self,
+        request: Request,
+        record: MemberRecord,
+        unreachable: Refused,
+        routing: bool = False,
+    ) -> Reply:
         reply = self._exchange(
             (record.host, record.peer_port),
             request,
             lambda id, work, body, more: Relay(
-                id, self._clock.monotonic(), work, body, more
+                id, self._clock.monotonic(), work, body, more, routing
             ),
             "",
-            # An earlier send of the same order may have reached the home.
-            Refused(Outcome.UNKNOWN, Reason.HOME_UNREACHABLE),
+            unreachable,
         )
         if distance_between(self._fleet.own(), record) == Distance.BEYOND:
             return self._count_bytes(request, reply)
@@ -135,11 +162,12 @@
             now_s = self._clock.monotonic()
             return attempts.may_start(now_s, choice.predicted_ms / 1000)
 
-    def _choose(self, request: Request, tried: frozenset[str]) -> Choice | NoChoice:
+    def _choose(
+        self, request: Request, known: list[Candidate], tried: frozenset[str]
+    ) -> Choice | NoChoice:
         row = request.row
         # An order is no request to try a doubtful upstream with.
         draw = self._rng.random() if row.repeat is Repeat.IDEMPOTENT else 1.0
-        known = self._fleet.candidates(row.service)
         candidates = eligible(known, row.floor, draw)
         remaining_s = request.deadline_s - self._clock.monotonic()
         with self._lock:
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -189,6 +189,8 @@
             asked_ms=(incoming.deadline_s - now_s) * 1000,
             attempt=work.attempt,
             relayed=True,
+            ruled=call.routing,
+            routing=call.routing,
             scope=incoming.scope,
         )
         self._finish(link, incoming, self._handle(request))
--- /dev/null
+++ b/tests/services/test_entry.py
@@ -0,0 +1,120 @@
+"""An entry that holds no detail on a service passes requests to a host of it."""
+
+import random
+
+import pytest
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import (
+    AnswerHead,
+    MemberRecord,
+    MemberStatus,
+    Refusal,
+    Relay,
+)
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import Answer, Refused, Request
+from chicorychute.services.entry import EntryService
+from chicorychute.services.exchanges import Exchanges
+from chicorychute.table.rows import Repeat, Row
+
+
+def record(instance, region="r1"):
+    return MemberRecord(
+        instance, 1, 1, MemberStatus.ALIVE, instance, 1, "z", region, 1, ()
+    )
+
+
+def row(repeat):
+    return Row("s", "r", ("GET /s",), 1, 0.5, 100, 1000, repeat, 0.2, 4, 0.5, 1, 0, 100)
+
+
+class FakeFleet:
+    def __init__(self, hosts):
+        self._hosts = hosts
+
+    def own(self):
+        return record("own")
+
+    def candidates(self, service):
+        return []
+
+    def hosts(self, service):
+        return self._hosts
+
+
+class FakeHub:
+    """Links whose peers answer at once with what `end_by_host` holds."""
+
+    def __init__(self, exchanges, end_by_host):
+        self.exchanges = exchanges
+        self.end_by_host = end_by_host
+        self.sent = []
+
+    def link_to(self, address):
+        return FakeLink(self, address[0])
+
+
+class FakeLink:
+    def __init__(self, hub, host):
+        self._hub = hub
+        self._host = host
+
+    def send(self, message):
+        if not isinstance(message, Relay):
+            return
+        self._hub.sent.append((self._host, message))
+        end = self._hub.end_by_host.get(self._host)
+        part = (
+            AnswerHead(message.id, 200, (), 2, b"ok", True, 0, 0)
+            if end is None
+            else Refusal(message.id, end, Reason.LEAVING, "")
+        )
+        self._hub.exchanges.on_part(self, part)
+
+
+def run(hosts, end_by_host=(), repeat=Repeat.IDEMPOTENT, routing=False):
+    clock = ManualClock()
+    exchanges = Exchanges(clock)
+    hub = FakeHub(exchanges, dict(end_by_host))
+    entry = EntryService(
+        None, FakeFleet(hosts), exchanges, lambda: hub, clock, random.Random(1)
+    )
+    request = Request("GET", "/s", (), b"", "", "", "", 0.0, deadline_s=1.0)
+    request.row = row(repeat)
+    request.routing = routing
+    return entry.handle(request), hub.sent
+
+
+@pytest.mark.parametrize("repeat", Repeat)
+def test_request_is_passed_to_the_nearest_host(repeat):
+    reply, sent = run([record("far", "r2"), record("near")], repeat=repeat)
+    assert isinstance(reply, Answer)
+    assert [host for host, _ in sent] == ["near"]
+    assert sent[0][1].routing
+
+
+@pytest.mark.parametrize("repeat", Repeat)
+def test_host_that_did_not_run_it_is_followed_by_another(repeat):
+    hosts = [record("near"), record("far", "r2")]
+    reply, sent = run(hosts, {"near": Outcome.NOT_RUN}, repeat)
+    assert isinstance(reply, Answer)
+    assert [host for host, _ in sent] == ["near", "far"]
+
+
+def test_order_that_may_have_run_is_not_passed_on():
+    hosts = [record("near"), record("far", "r2")]
+    reply, sent = run(hosts, {"near": Outcome.UNKNOWN}, Repeat.ONCE)
+    assert (reply.outcome, len(sent)) == (Outcome.UNKNOWN, 1)
+
+
+@pytest.mark.parametrize("routing", [True, False])
+def test_without_any_host_it_is_not_run(routing):
+    reply, sent = run([], routing=routing)
+    assert reply == Refused(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
+    assert not sent
+
+
+def test_request_that_was_passed_on_is_not_passed_on_again():
+    reply, sent = run([record("near")], routing=True)
+    assert (reply.outcome, sent) == (Outcome.NOT_RUN, [])
