--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -3,7 +3,6 @@
 import os
 import random
 import signal
-import sys
 import threading
 from collections import Counter
 from collections.abc import Callable
@@ -69,7 +68,6 @@
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
-SWITCH_INTERVAL_S = 0.0005  # after which control work yields to requests
 NOTICE_REPAIR_S = 2.0
 CALLER_TICK_S = 0.1
 PROBE_TICK_S = 0.1
@@ -270,7 +268,6 @@
 
     def run(self) -> int:
         """Serve until a signal asks to stop; returns the exit code."""
-        sys.setswitchinterval(SWITCH_INTERVAL_S)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         self._hub.start()
