--- a/chicorychute/pipeline/cancel.py
+++ b/chicorychute/pipeline/cancel.py
@@ -24,11 +24,6 @@
         if cancelled:
             stop()
 
-    def unbind(self) -> None:
-        """Leave nothing to stop."""
-        with self._lock:
-            self._stop = _nothing
-
     def cancel(self) -> None:
         """Stop the request; further attempts end at once."""
         with self._lock:
