--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -40,7 +40,7 @@
 from chicorychute.pipeline.leaving import Leaving
 from chicorychute.pipeline.measure import measure
 from chicorychute.pipeline.once import OrderHome
-from chicorychute.pipeline.values import chain
+from chicorychute.pipeline.values import Handler, chain
 from chicorychute.platform.base import PlatformBackend
 from chicorychute.platform.http import HttpPlatform
 from chicorychute.platform.pacing import ReadPace
@@ -106,31 +106,47 @@
 
     def _build(self) -> None:
         get = self._settings.get
-        clock = self._clock
         instance = get("instance", "id")
-        incarnation = int(clock.utc().timestamp() * 1000)
         hello = Hello(
             PROTOCOL_VERSION,
             instance,
-            incarnation,
+            int(self._clock.utc().timestamp() * 1000),
             get("instance", "zone"),
             get("instance", "region"),
         )
-        tracing = _tracing(self._settings, instance, self._rng)
-        telemetry = self._telemetry = Instruments(instance, clock)
-        self._exchanges = Exchanges(clock)
+        self._tracing = _tracing(self._settings, instance, self._rng)
+        self._telemetry = Instruments(instance, self._clock)
+        self._exchanges = Exchanges(self._clock)
+        self._platform = _platform(self._settings)
+        self._build_links(hello)
+        self._build_fleet(hello)
+        self._build_gate(hello)
+        self._build_shutdown()
+        handle = self._build_pipeline(hello)
+        self._peers = PeerService(self._gate, self._clock, handle, self._tables.table)
+        self._build_edge(handle)
+        self._build_operator()
+        self._tickers = self._make_tickers(self._platform)
+
+    def _build_links(self, hello: Hello) -> None:
+        get = self._settings.get
+        telemetry = self._telemetry
         self._hub = LinkHub(
             hello,
             (get("peer", "host"), get("peer", "port")),
-            clock,
+            self._clock,
             self._on_message,
             self._on_closed,
             lambda fault: telemetry.link_faults.add(fault.value),
             telemetry.link_bytes,
         )
+        self._senders = Senders(self._get_hub)
+
+    def _build_fleet(self, hello: Hello) -> None:
+        get = self._settings.get
         own = MemberRecord(
-            instance,
-            incarnation,
+            hello.instance,
+            hello.incarnation,
             0,
             MemberStatus.ALIVE,
             get("peer", "host"),
@@ -140,79 +156,91 @@
             0,
             (),
         )
-        platform = _platform(self._settings)
         suspect_after_s = get("gossip", "suspect_after_s").total_seconds()
-        view = MembershipView(own, suspect_after_s, clock, self._rng)
-        hub = self._get_hub
-        senders = Senders(hub)
+        view = MembershipView(own, suspect_after_s, self._clock, self._rng)
         self._fleet = FleetService(
             view,
-            platform,
+            self._platform,
             get("peer", "seeds"),
-            senders,
+            self._senders,
             self._pace(get("platform", "poll_s").total_seconds()),
             self._rng,
             self._on_listed_leaving,
         )
-        self._notices = NoticeService(self._fleet, hub, self._rng)
-        self._gate = GateService(
-            self._settings.upstreams,
-            clock,
-            tracing,
-            self._fleet.peer_digests,
-            Quarantine(instance, incarnation, clock),
-            self._notices.tell,
-            self._recorder,
-        )
+        self._notices = NoticeService(self._fleet, self._get_hub, self._rng)
         self._tables = TableService(
-            TableVersions(clock),
-            platform,
+            TableVersions(self._clock),
+            self._platform,
             self._fleet,
-            senders,
+            self._senders,
             self._pace(0.0),
             self._rng,
             self._on_table,
         )
-        leaving = Leaving(clock)
-        limit_s = get("shutdown", "drain_limit_s").total_seconds()
+
+    def _build_gate(self, hello: Hello) -> None:
+        self._gate = GateService(
+            self._settings.upstreams,
+            self._clock,
+            self._tracing,
+            self._fleet.peer_digests,
+            Quarantine(hello.instance, hello.incarnation, self._clock),
+            self._notices.tell,
+            self._recorder,
+        )
+
+    def _build_shutdown(self) -> None:
+        self._leaving = Leaving(self._clock)
+        limit_s = self._settings.get("shutdown", "drain_limit_s").total_seconds()
         self._drain = DrainService(
-            leaving,
+            self._leaving,
             self._fleet,
             self._gate,
-            senders,
+            self._senders,
             limit_s,
-            clock,
+            self._clock,
             lambda: not self._home.idle(),
         )
+
+    def _build_pipeline(self, hello: Hello) -> Handler:
+        """Return the first handler of the filters, whose order is this list."""
+        clock = self._clock
         entry = EntryService(
-            self._gate, self._fleet, self._exchanges, hub, clock, self._rng
+            self._gate,
+            self._fleet,
+            self._exchanges,
+            self._get_hub,
+            clock,
+            self._rng,
         )
-        ledger = OrderLedger(instance, incarnation, clock)
-        home = OrderHome(ledger, entry.relay, clock)
-        self._home = home
-        self._seats = ServerSeats(get("edge", "threads"))
-        handle = chain(
+        ledger = OrderLedger(hello.instance, hello.incarnation, clock)
+        self._home = OrderHome(ledger, entry.relay, clock)
+        self._seats = ServerSeats(self._settings.get("edge", "threads"))
+        return chain(
             [
-                leaving.count,
-                filters.trace(tracing, "entry"),
-                measure(telemetry.requests, clock),
-                home.guard,
+                self._leaving.count,
+                filters.trace(self._tracing, "entry"),
+                measure(self._telemetry.requests, clock),
+                self._home.guard,
                 filters.route(self._tables.routes),
                 self._seats.filter,
-                leaving.refuse,
+                self._leaving.refuse,
                 filters.deadline(clock),
-                home.filter,
+                self._home.filter,
             ],
             entry.handle,
         )
-        self._peers = PeerService(self._gate, clock, handle, self._tables.table)
+
+    def _build_edge(self, handle: Handler) -> None:
+        get = self._settings.get
+        telemetry = self._telemetry
         self._callers = CallerWatch()
         application = EdgeApplication(
             handle,
-            home.home,
-            clock,
+            self._home.home,
+            self._clock,
             get("edge", "max_body_bytes"),
-            leaving.serving,
+            self._leaving.serving,
             lambda reason: telemetry.edge_refusals.add(reason.value),
             self._callers,
         )
@@ -223,7 +251,11 @@
             get("edge", "max_header_bytes"),
             get("edge", "read_limit_s").total_seconds(),
         )
-        self._publish_metrics(platform)
+
+    def _build_operator(self) -> None:
+        get = self._settings.get
+        telemetry = self._telemetry
+        self._publish_metrics(self._platform)
         report = StatusReport(
             self._fleet, self._tables, self._gate, telemetry, self._why_not_ready
         )
@@ -236,7 +268,6 @@
         self._operator = OperatorServer(
             pages, (get("operator", "host"), get("operator", "port"))
         )
-        self._tickers = self._make_tickers(platform)
 
     def _publish_metrics(self, platform: PlatformBackend | None) -> None:
         telemetry = self._telemetry
