Leave an order that was sent to its upstream to end

Cause: a gate closes its connection to the upstream where the link of the asking daemon is lost or a Cancel comes, so that nobody works for a caller who has gone. It did so for orders too, and a paid order could be broken off half done.

Ruled out: no withdrawal at all for orders; one that still waits for a slot is better not begun, since its home already tells it as unknown.

Change: the cancellation of a request with a key reaches its place in the queue only.

--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -144,9 +144,9 @@
                     self._finish(link, incoming, Refused(Outcome.NOT_RUN, reason))
 
         self._gate.submit(call.upstream, ticket, start)
-        incoming.scope.bind(
-            lambda: self._gate.cancel(call.upstream, ticket, upstream_call)
-        )
+        # An order that was sent is left to end: to cut it makes its end unknown.
+        cut = UpstreamCall() if call.work.key else upstream_call
+        incoming.scope.bind(lambda: self._gate.cancel(call.upstream, ticket, cut))
 
     def _submit_relay(self, link: Link, incoming: _Incoming) -> None:
         work = incoming.call.work
--- /dev/null
+++ b/tests/services/test_peers.py
@@ -0,0 +1,59 @@
+"""Requests of a peer whose link is lost while they run."""
+
+import pytest
+
+from chicorychute.admission.queue import Granted, Ticket
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import Cancel, Forward, Work
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import Refused
+from chicorychute.services.peers import PeerService
+from chicorychute.transport.link import LinkClock
+
+
+class FakeGate:
+    """Grants at once and keeps the call of the request that it runs."""
+
+    def __init__(self):
+        self.runs = []
+        self.call = None
+
+    def ticket(self, upstream_id, work, body, deadline_s):
+        return Ticket(work.rank, deadline_s)
+
+    def submit(self, upstream_id, ticket, starter):
+        starter(Granted(ticket))
+
+    def in_pool(self, run):
+        self.runs.append(run)
+
+    def cancel(self, upstream_id, ticket, call):
+        call.cancel()
+
+    def run(self, upstream_id, ticket, work, body, call):
+        self.call = call
+        return Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)
+
+
+class FakeLink:
+    def __init__(self):
+        self.clock = LinkClock()
+
+    def send(self, message):
+        pass
+
+
+@pytest.mark.parametrize("key, cut", [("", True), ("home@1.0/a", False)])
+@pytest.mark.parametrize("how", ["cancel", "closed"])
+def test_running_lookup_is_cut_and_running_order_is_left_to_end(key, cut, how):
+    gate = FakeGate()
+    peers = PeerService(gate, ManualClock(), None, lambda: None)
+    link = FakeLink()
+    work = Work("POST", "/orders", (), "s", "order", "", key, "", 1, 1000.0)
+    peers.on_call(link, Forward(1, 0.0, "u", work, b"{}", False))
+    if how == "cancel":
+        peers.on_cancel(link, Cancel(1))
+    else:
+        peers.on_closed(link)
+    gate.runs.pop()()
+    assert gate.call.cancelled is cut
