Give a request a thread of the edge once all of it has arrived

Cause: a connection held a thread of the edge from its accept, until its head and body had arrived or the limit passed. As many slow or silent connections as threads held up every other caller for 20 s. Ruled out: more threads (each slow sender takes one still); threads for bodies only, a bounded number, the slowest cut off (honest large bodies pay for it; not built). Change: one thread receives all requests without waiting and hands over whole ones; chunks are decoded as they come, strictly. Bytes on their way in and waiting connections are bounded: who holds most for longest is refused with overload. Refused senders are heard out by that thread too; they held a serving thread as long as they sent. Failed first: the six kinds of slow sender timed out on the code before; with the bound on bytes off no sender was refused. Conclusion: kept; slow readers of answers still hold a thread.

--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -7,8 +7,6 @@
 import attrs
 import cherrypy
 import structlog
-from cheroot import wsgi
-from cheroot.errors import MaxSizeExceeded
 from cherrypy.process.servers import ServerAdapter
 
 from chicorychute.core.clock import Clock
@@ -24,13 +22,15 @@
 )
 from chicorychute.transport.answer_body import AnswerBody
 from chicorychute.transport.callers import CallerWatch
+from chicorychute.transport.edge_connections import MAX_HELD_BYTES, EdgeHttpServer
 from chicorychute.transport.edge_request import (
+    CUT_DETAILS,
     EdgeConnection,
     EdgeGateway,
     EdgeRequest,
-    ReadGuard,
     refusal_body,
 )
+from chicorychute.transport.intake import TooLarge
 from chicorychute.transport.upstream import HOP_BY_HOP
 
 OWN_HEADERS = frozenset(
@@ -39,19 +39,14 @@
 OWN_PREFIX = "chute-"
 MAX_KEY_CHARS = 512
 MAX_TEAM_CHARS = 128
+HELD_BODIES = 4  # largest bodies that may be on their way in at least
 BODILESS_STATUSES = frozenset({204, 304})
-READ_BYTES = 64 << 10
-KEPT_CONNECTIONS = 4096  # idle ones cost no thread
 
 _is_duration = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?").fullmatch
 
 logger = structlog.get_logger()
 
 
-class TooLarge(Exception):
-    """The body of a request is above the limit."""
-
-
 def _ignore(reason: Reason) -> None:
     """Do nothing with a refusal."""
 
@@ -98,9 +93,9 @@
         exchange: EdgeRequest = environ["chute.request"]
         try:
             request = self._read(environ, received_s)
-        except (ValueError, OSError, TooLarge, MaxSizeExceeded) as error:
+        except (ValueError, TooLarge) as error:
             exchange.give_up_body()
-            refused = _refusal_of(error, exchange.late)
+            refused = _refusal_of(error, exchange.conn.cut)
             if parse_key(environ.get("HTTP_IDEMPOTENCY_KEY", "")).is_ok():
                 # An earlier send under the same key may have run.
                 refused = attrs.evolve(refused, outcome=Outcome.UNKNOWN)
@@ -145,26 +140,12 @@
         )
 
     def _read_body(self, environ: dict) -> bytes:
-        stream = environ["wsgi.input"]
-        if environ["wsgi.input_terminated"]:
-            return self._read_chunks(stream)
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > self.max_body_bytes:
-            raise TooLarge
-        body = stream.read(length) if length else b""
-        if len(body) < length:
+        arrived = environ["chute.request"].conn.arrived
+        if arrived.fault is not None:
+            raise arrived.fault
+        if len(arrived.body) < int(environ.get("CONTENT_LENGTH") or 0):
             raise ValueError("the body ended early")
-        return body
-
-    def _read_chunks(self, stream) -> bytes:
-        body = bytearray()
-        while data := stream.read(READ_BYTES):
-            body += data
-            if len(body) > self.max_body_bytes:
-                raise TooLarge
-        for _ in stream.read_trailer_lines():
-            pass
-        return bytes(body)
+        return arrived.body
 
     def _refuse(
         self, refused: Refused, environ: dict, start_response: Callable
@@ -213,14 +194,12 @@
         return body
 
 
-def _refusal_of(error: Exception, late: bool) -> Refused:
-    if late or isinstance(error, TimeoutError):
-        return Refused(Outcome.NOT_RUN, Reason.SLOW_REQUEST)
-    if isinstance(error, ValueError):
-        return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
-    if isinstance(error, (TooLarge, MaxSizeExceeded)) or "Large" in str(error):
+def _refusal_of(error: Exception, cut: Reason | None) -> Refused:
+    if cut is not None:
+        return Refused(Outcome.NOT_RUN, cut, CUT_DETAILS[cut])
+    if isinstance(error, TooLarge):
         return Refused(Outcome.NOT_RUN, Reason.TOO_LARGE)
-    return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, "the body ended early")
+    return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
 
 
 def _short(environ: dict, name: str, limit: int) -> str:
@@ -260,18 +239,20 @@
         cherrypy.config.update({"log.screen": False, "engine.autoreload.on": False})
         cherrypy.server.unsubscribe()
         cherrypy.tree.graft(application, "/")
-        self._server = wsgi.Server(
+        self._server = EdgeHttpServer(
             address, cherrypy.tree, numthreads=threads, request_queue_size=512
         )
         self._server.max_request_header_size = max_header_bytes
-        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.max_request_body_size = application.max_body_bytes
         self._server.ConnectionClass = EdgeConnection
         self._server.gateway = EdgeGateway
         self._server.error_log = _log_fault
         self._server.on_refusal = application.on_refusal
-        self._guard = ReadGuard(application.clock, read_limit_s)
-        self._server.guard = self._guard
+        self._server.clock = application.clock
+        self._server.read_limit_s = read_limit_s
+        self._server.max_held_bytes = max(
+            MAX_HELD_BYTES, HELD_BODIES * application.max_body_bytes
+        )
         self._adapter = ServerAdapter(cherrypy.engine, self._server, address)
 
     @property
@@ -281,14 +262,13 @@
 
     def start(self) -> None:
         """Listen for callers."""
-        self._guard.start()
         self._adapter.subscribe()
         cherrypy.engine.start()
 
     def stop(self) -> None:
         """Stop listening and end every connection."""
         cherrypy.engine.exit()
-        self._guard.stop()
+        self._adapter.unsubscribe()
 
 
 def _log_fault(msg: str = "", level: int = 20, traceback: bool = False) -> None:
--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -5,23 +5,21 @@
 """
 
 import contextlib
+import io
 import json
 import re
 import socket
 import struct
-import threading
 
+from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
-from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
 from chicorychute.pipeline.values import AnswerBroken
+from chicorychute.transport.intake import Arrived, Intake
 
 MAX_HEADERS = 100
-GUARD_TICK_S = 0.2
-DISCARD_BYTES = 4 << 20  # of a refused body, so that the refusal arrives
-DISCARD_TIMEOUT_S = 0.5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 REASON_BY_STATUS = {
@@ -31,6 +29,10 @@
     "500": Reason.INTERNAL,
     "503": Reason.OVERLOAD,
 }
+CUT_DETAILS = {
+    Reason.SLOW_REQUEST: "the request took too long to arrive",
+    Reason.OVERLOAD: "too many requests are on their way in",
+}
 SINGLE_HEADERS = frozenset(
     {
         b"Authorization",
@@ -71,6 +73,8 @@
             raise ValueError(f"more than {MAX_HEADERS} headers")
         _read_header(line, headers)
     _check_framing(headers)
+    if headers.get(b"Expect", b"").lower() == b"100-continue":
+        del headers[b"Expect"]  # was answered as the head arrived
     return headers
 
 
@@ -101,41 +105,6 @@
         raise ValueError("Transfer-Encoding must be chunked")
 
 
-class ReadGuard:
-    """Ends the reading of requests that take too long to arrive."""
-
-    def __init__(self, clock: Clock, limit_s: float):
-        self._clock = clock
-        self._limit_s = limit_s
-        self._start_by_request: dict[EdgeRequest, float] = {}
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="edge", daemon=True)
-
-    def start(self) -> None:
-        """Start watching."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop watching."""
-        self._stopped.set()
-
-    def enter(self, request: "EdgeRequest") -> None:
-        """Start the limit of a request."""
-        self._start_by_request[request] = self._clock.monotonic()
-
-    def leave(self, request: "EdgeRequest") -> None:
-        """End the limit of a request that has been read."""
-        self._start_by_request.pop(request, None)
-
-    def _run(self) -> None:
-        while not self._stopped.wait(GUARD_TICK_S):
-            latest_s = self._clock.monotonic() - self._limit_s
-            for request, start_s in self._start_by_request.copy().items():
-                if start_s < latest_s:
-                    self.leave(request)
-                    request.cut_off()
-
-
 class EdgeRequest(HTTPRequest):
     """Request of a caller; every refusal tells its outcome."""
 
@@ -144,18 +113,6 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.dispatched = False
-        self.late = False
-
-    def parse_request(self) -> None:
-        """Read the head."""
-        self.server.guard.enter(self)
-        try:
-            super().parse_request()
-        except BaseException:
-            self.server.guard.leave(self)
-            raise
-        if not self.ready:
-            self.server.guard.leave(self)
 
     def read_request_headers(self) -> bool:
         """Read the headers; refuse a body whose end can't be told."""
@@ -173,31 +130,22 @@
         except AnswerBroken:
             self.close_connection = True
             self.conn.reset()
-        finally:
-            self.server.guard.leave(self)
 
     def finish_reading(self) -> None:
         """Note that the whole request has been read and goes on to its handler."""
-        self.server.guard.leave(self)
         self.dispatched = True
 
     def give_up_body(self) -> None:
         """Close the connection after the answer, as the body was not read."""
-        self.server.guard.leave(self)
         self.close_connection = True
         self.conn.discards = True
 
-    def cut_off(self) -> None:
-        """End a read that takes too long."""
-        self.late = True
-        with contextlib.suppress(OSError):
-            self.conn.socket.shutdown(socket.SHUT_RD)
-
     def simple_response(self, status: str, msg: str = "") -> None:
         """Write a refusal of the server itself."""
-        if self.late:
-            status, msg = "408 Request Timeout", "the request took too long to arrive"
         reason = REASON_BY_STATUS.get(str(status)[:3], Reason.BAD_REQUEST)
+        if self.conn.cut is not None:
+            reason, msg = self.conn.cut, CUT_DETAILS[self.conn.cut]
+            status = f"{REASON_SPECS[reason].status} {reason.value}"
         outcome = Outcome.UNKNOWN if self.dispatched else Outcome.NOT_RUN
         self.server.on_refusal(reason)
         body = refusal_body(outcome, reason, str(msg))
@@ -227,12 +175,52 @@
     ).encode()
 
 
+class HeadFile(io.BytesIO):
+    """Head of a request, as the file that the HTTP server reads."""
+
+    bytes_read = 0
+
+
+def _make_file(sock: socket.socket, mode: str, size: int):
+    return HeadFile() if "r" in mode else MakeFile(sock, mode, size)
+
+
 class EdgeConnection(HTTPConnection):
-    """Connection of a caller."""
+    """Connection of a caller.
+
+    Attributes
+    ----------
+    cut : Reason, optional
+        Why the request was not waited for.
+    gone : bool
+        Whether the caller left without a request.
+    lingers : bool
+        Whether the connection is only heard out before it is closed.
+    """
 
     RequestHandlerClass = EdgeRequest
     discards = False
     resets = False
+    gone = False
+    lingers = False
+    cut: Reason | None = None
+    since_s = 0.0
+    charged = 0
+    discarded = 0
+
+    def __init__(self, server, sock: socket.socket, makefile=_make_file):
+        super().__init__(server, sock, _make_file)
+        self.intake = Intake(
+            server.max_request_header_size, server.max_request_body_size
+        )
+        self.arrived = Arrived(b"", b"", None)
+
+    def communicate(self) -> bool:
+        """Answer the request that has arrived."""
+        self.arrived = self.intake.take()
+        self.server.held.charge(self, self.intake.held)
+        self.rfile = HeadFile(self.arrived.head)
+        return super().communicate()
 
     def reset(self) -> None:
         """Make the close a reset, which no client takes for a clean end."""
@@ -241,26 +229,20 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     def close(self) -> None:
-        """Close; first discard unread bytes that would hide a refusal."""
-        if self.discards:
-            with contextlib.suppress(OSError, ValueError):
-                self._discard()
+        """Close; a refused sender is heard out first, so that it reads why."""
+        self.server.held.charge(self, 0)
+        if self.discards and not self.lingers and self.server.ready:
+            self.lingers = True
+            with contextlib.suppress(OSError, ValueError, KeyError):
+                self.socket.shutdown(socket.SHUT_WR)
+                self.server.linger(self)
+                return
         super().close()
 
     def _close_kernel_socket(self) -> None:
         if not self.resets:  # a shutdown would be a clean end
             super()._close_kernel_socket()
 
-    def _discard(self) -> None:
-        self.socket.shutdown(socket.SHUT_WR)
-        self.socket.settimeout(DISCARD_TIMEOUT_S)
-        left = DISCARD_BYTES
-        while left > 0:
-            data = self.socket.recv(64 << 10)
-            if not data:
-                return
-            left -= len(data)
-
 
 class EdgeGateway(Gateway_10):
     """Hands the request itself to the application."""
--- /dev/null
+++ b/chicorychute/transport/intake.py
@@ -0,0 +1,209 @@
+"""Assembly of a caller's request from the pieces in which it arrives.
+
+Decides only where a request ends. What is wrong with a head is told by the reader
+of the head, so a request that it is going to refuse counts as whole at once.
+"""
+
+import re
+from collections.abc import Callable
+
+import attrs
+
+HEAD_END = b"\r\n\r\n"
+MAX_CHUNK_LINE_BYTES = 1024
+MAX_LENGTH_DIGITS = 18
+
+_bare_newline = re.compile(rb"(?<!\r)\n").search
+_framing_lines = re.compile(
+    rb"\r\n(content-length|transfer-encoding|expect):[ \t]*([^\r\n]*)", re.IGNORECASE
+).findall
+_is_chunk_size = re.compile(rb"[0-9A-Fa-f]{1,16}").fullmatch
+
+
+class TooLarge(Exception):
+    """The body of a request is above the limit."""
+
+
+@attrs.frozen
+class Arrived:
+    """What has arrived of one request.
+
+    Attributes
+    ----------
+    fault : Exception, optional
+        Why the body is not whole: ValueError or TooLarge.
+    """
+
+    head: bytes
+    body: bytes
+    fault: Exception | None
+
+
+class Intake:
+    """Bytes of one connection on their way to become requests."""
+
+    def __init__(self, max_head_bytes: int, max_body_bytes: int):
+        self._max_head = max_head_bytes
+        self._max_body = max_body_bytes
+        self._unread = bytearray()
+        self._start()
+
+    def _start(self) -> None:
+        self._head = b""
+        self._body = bytearray()
+        self._scanned = 0
+        self._needed = 0
+        self._trailers = 0
+        self._fault: Exception | None = None
+        self._step: Callable[[], bool] | None = self._read_head
+        self.expects_continue = False
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing of a request has arrived."""
+        return not self._unread and not self._head
+
+    @property
+    def ready(self) -> bool:
+        """Whether the request is whole, or is going to be refused."""
+        return self._step is None
+
+    @property
+    def held(self) -> int:
+        """Bytes held in memory."""
+        return len(self._unread) + len(self._head) + len(self._body)
+
+    def feed(self, data: bytes) -> bool:
+        """Take bytes; return whether the request is ready."""
+        self._unread += data
+        while self._step is not None and self._step():
+            pass
+        return self.ready
+
+    def end(self) -> None:
+        """Note that no more bytes come."""
+        if self.ready:
+            return
+        if self._step == self._read_head:
+            self._finish_head(len(self._unread))
+        else:
+            self._fault = ValueError("the body ended early")
+        self._step = None
+
+    def cut(self) -> None:
+        """Give the rest up, and what is held of the body."""
+        self.end()
+        self._body.clear()
+        self._unread.clear()
+
+    def take(self) -> Arrived:
+        """Return the request and start on the one behind it."""
+        arrived = Arrived(self._head, bytes(self._body), self._fault)
+        self._start()
+        return arrived
+
+    def _read_head(self) -> bool:
+        # One empty line may stand before a request.
+        first = 2 if self._unread.startswith(b"\r\n") else 0
+        end = self._unread.find(HEAD_END, max(first, self._scanned - 3))
+        if end < 0:
+            bare = _bare_newline(self._unread, max(0, self._scanned - 1))
+            if bare or len(self._unread) > self._max_head:
+                self._finish_head(len(self._unread))
+                self._step = None
+            self._scanned = len(self._unread)
+            return False
+        self._finish_head(end + len(HEAD_END))
+        self._step = self._step_after_head()
+        return True
+
+    def _finish_head(self, length: int) -> None:
+        self._head = bytes(self._unread[:length])
+        del self._unread[:length]
+
+    def _step_after_head(self) -> Callable[[], bool] | None:
+        """Return the step that reads the body, None if there is none to read."""
+        lines = [(name.lower(), value) for name, value in _framing_lines(self._head)]
+        if not lines or len(self._head) > self._max_head:
+            return None
+        self.expects_continue = any(
+            name == b"expect" and value.lower().strip() == b"100-continue"
+            for name, value in lines
+        )
+        match [(name, value.strip()) for name, value in lines if name != b"expect"]:
+            case [(b"content-length", length)]:
+                return self._step_for_length(length)
+            case [(b"transfer-encoding", coding)] if coding.lower() == b"chunked":
+                return self._read_chunk_size
+        return None
+
+    def _step_for_length(self, text: bytes) -> Callable[[], bool] | None:
+        if not text.isdigit() or len(text) > MAX_LENGTH_DIGITS:
+            return None
+        self._needed = int(text)
+        return self._read_sized if 0 < self._needed <= self._max_body else None
+
+    def _read_sized(self) -> bool:
+        self._move_body()
+        if not self._needed:
+            self._step = None
+        return False
+
+    def _move_body(self) -> None:
+        piece = self._unread[: self._needed]
+        self._body += piece
+        self._needed -= len(piece)
+        del self._unread[: len(piece)]
+
+    def _read_chunk_size(self) -> bool:
+        line = self._line()
+        if line is None:
+            return False
+        text = line.partition(b";")[0].strip(b" \t")
+        if not _is_chunk_size(text):
+            return self._fail(ValueError("a chunk's size must be a hexadecimal number"))
+        self._needed = int(text, 16)
+        if len(self._body) + self._needed > self._max_body:
+            return self._fail(TooLarge())
+        self._step = self._read_chunk if self._needed else self._read_trailer
+        return True
+
+    def _read_chunk(self) -> bool:
+        self._move_body()
+        if self._needed or len(self._unread) < 2:
+            return False
+        if not self._unread.startswith(b"\r\n"):
+            return self._fail(ValueError("a chunk must end with CRLF"))
+        del self._unread[:2]
+        self._step = self._read_chunk_size
+        return True
+
+    def _read_trailer(self) -> bool:
+        line = self._line()
+        if line is None:
+            return False
+        self._trailers += len(line)
+        if self._trailers > self._max_head:
+            return self._fail(TooLarge())
+        if not line:
+            self._step = None
+        return True
+
+    def _line(self) -> bytes | None:
+        """Return the next line without its end, None while it is not there."""
+        end = self._unread.find(b"\n", 0, MAX_CHUNK_LINE_BYTES)
+        if end < 0 and len(self._unread) < MAX_CHUNK_LINE_BYTES:
+            return None
+        if end < 1 or self._unread[end - 1 : end] != b"\r":
+            self._fail(
+                ValueError("a line of a chunked body is too long, or has no CRLF")
+            )
+            return None
+        line = bytes(self._unread[: end - 1])
+        del self._unread[: end + 1]
+        return line
+
+    def _fail(self, fault: Exception) -> bool:
+        self._fault = fault
+        self._step = None
+        return False
