Refuse a sender that falls silent for 10 s, as before

Cause: the limit on silence within a request was the HTTP server's socket timeout, which whole requests no longer meet; tests/processes/test_bad_input.py (slow) ended in its own timeout of 20 s. Change: the receiving thread keeps the same 10 s.

--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -39,6 +39,7 @@
 OWN_PREFIX = "chute-"
 MAX_KEY_CHARS = 512
 MAX_TEAM_CHARS = 128
+SILENCE_LIMIT_S = 10.0  # of a connection, within a request, answer or between
 HELD_BODIES = 4  # largest bodies that may be on their way in at least
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -235,12 +236,17 @@
         threads: int,
         max_header_bytes: int,
         read_limit_s: float,
+        silence_limit_s: float = SILENCE_LIMIT_S,
     ):
         cherrypy.config.update({"log.screen": False, "engine.autoreload.on": False})
         cherrypy.server.unsubscribe()
         cherrypy.tree.graft(application, "/")
         self._server = EdgeHttpServer(
-            address, cherrypy.tree, numthreads=threads, request_queue_size=512
+            address,
+            cherrypy.tree,
+            numthreads=threads,
+            request_queue_size=512,
+            timeout=silence_limit_s,
         )
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = application.max_body_bytes
--- a/chicorychute/transport/edge_connections.py
+++ b/chicorychute/transport/edge_connections.py
@@ -116,8 +116,9 @@
             conn.gone = intake.empty
             intake.end()
             return False
+        conn.heard_s = self._clock.monotonic()
         if intake.empty:
-            conn.since_s = self._clock.monotonic()
+            conn.since_s = conn.heard_s
         waits = not intake.feed(data)
         self._charge(conn)
         if waits and intake.expects_continue:
@@ -174,19 +175,21 @@
     def _expire(self, threshold: float) -> None:
         """End what has waited too long at the time `threshold`."""
         for conn in self._waiting():
-            if threshold - conn.since_s > self._limit_s(conn):
+            if threshold > self._end_s(conn):
                 self._selector.unregister(conn.socket.fileno())
                 conn.gone = conn.intake.empty
                 if not conn.gone and not conn.lingers:
                     self._cut(conn, Reason.SLOW_REQUEST)
                 self._pass_on(conn)
 
-    def _limit_s(self, conn) -> float:
+    def _end_s(self, conn) -> float:
+        """Return until when a connection may wait as it is."""
         if conn.lingers:
-            return LINGER_S
+            return conn.since_s + LINGER_S
         if conn.intake.empty:
-            return self.server.timeout
-        return self.server.read_limit_s
+            return conn.since_s + self.server.timeout
+        silence_end_s = conn.heard_s + self.server.timeout
+        return min(conn.since_s + self.server.read_limit_s, silence_end_s)
 
 
 class EdgeHttpServer(Server):
--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -205,6 +205,7 @@
     lingers = False
     cut: Reason | None = None
     since_s = 0.0
+    heard_s = 0.0
     charged = 0
     discarded = 0
 
--- a/tests/transport/test_slow_senders.py
+++ b/tests/transport/test_slow_senders.py
@@ -12,7 +12,7 @@
 
 THREADS = 4
 SENDERS = 10 * THREADS
-READ_LIMIT_S = 600.0  # never reached here
+LIMIT_S = 600.0  # never reached here
 WAIT_S = 60.0
 MAX_BODY_BYTES = 4 << 20
 ORDINARY = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
@@ -34,7 +34,7 @@
         SystemClock(),
         MAX_BODY_BYTES,
     )
-    edge = EdgeServer(application, ("127.0.0.1", 0), THREADS, 8192, READ_LIMIT_S)
+    edge = EdgeServer(application, ("127.0.0.1", 0), THREADS, 8192, LIMIT_S, LIMIT_S)
     edge.start()
     yield edge
     edge.stop()
