Show that a one-way cut between entry and home runs an order once

Cause: no test with real processes cut the path of an order in one direction. Change: tests cut entry to home and home to entry, while the order runs and before it is sent; sends through another entry get the answer, sends into the cut are told unknown, and after it heals all entries tell one end. The upstream stand-in can hold its requests, and counts what was sent to it. Ruled out: timing the cut by a slow upstream, as a loaded machine would miss it. Conclusion: the mechanism holds as it is; only the proof was missing.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,7 +1,7 @@
 """Upstream stand-in: slots, service times and faults that can be set.
 
-``POST /control`` takes JSON with any of the fields of `Faults`; ``GET /counts``
-answers what ran. Every other request is work.
+``POST /control`` takes JSON with any of the fields of `Faults`, and counts the most
+that run at a time anew; ``GET /counts`` answers what ran. All else is work.
 """
 
 import argparse
@@ -10,12 +10,13 @@
 import random
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 
 import attrs
 from cheroot import wsgi
 
 SERVER_THREADS = 360
+ARRIVED_KEPT = 1000  # paths of the last requests, in their order
 
 
 @attrs.define
@@ -32,6 +33,8 @@
         Text in a body that ends the process.
     answer_bytes : int
         Length of the answer's body, 0 for a short JSON text.
+    held : bool
+        Whether requests wait until this is false again.
     """
 
     slow_factor: float = 1.0
@@ -42,6 +45,7 @@
     cold_s: float = 0.0
     crash_marker: str = "crash-upstream"
     answer_bytes: int = 0
+    held: bool = False
 
 
 class UpstreamApplication:
@@ -60,6 +64,10 @@
         self._runs_by_key: Counter[str] = Counter()
         self._traceparents: set[str] = set()
         self._most_running = 0
+        self._sends = 0
+        self._arrived: deque[str] = deque(maxlen=ARRIVED_KEPT)
+        self._released = threading.Event()
+        self._released.set()
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -67,15 +75,26 @@
         body = environ["wsgi.input"].read(length) if length else b""
         path = environ["PATH_INFO"]
         if path == "/control":
-            self._faults = attrs.evolve(self._faults, **json.loads(body))
-            return self._json(start_response, "200 OK", {})
+            return self._control(json.loads(body), start_response)
         if path == "/counts":
             return self._json(start_response, "200 OK", self._snapshot())
         return self._work(environ, body, start_response)
 
+    def _control(self, changes: dict, start_response):
+        with self._lock:
+            self._faults = attrs.evolve(self._faults, **changes)
+            self._most_running = self._running
+        if self._faults.held:
+            self._released.clear()
+        else:
+            self._released.set()
+        return self._json(start_response, "200 OK", {})
+
     def _work(self, environ, body: bytes, start_response):
         faults = self._faults
         with self._lock:
+            self._sends += 1
+            self._arrived.append(environ["PATH_INFO"])
             self._running += 1
             self._most_running = max(self._most_running, self._running)
             draw = self._rng.random()
@@ -88,6 +107,7 @@
                 os._exit(1)
             if draw < faults.hang_share:
                 time.sleep(3600)
+            self._released.wait()
             time.sleep(self._service_time_s(faults, jitter))
             if draw < faults.shed_share:
                 self._count("shed")
@@ -128,6 +148,9 @@
                 "upstream": self._name,
                 "counts": dict(self._counts),
                 "runs_by_key": dict(self._runs_by_key),
+                "sends": self._sends,
+                "arrived": list(self._arrived),
+                "running": self._running,
                 "most_running": self._most_running,
                 "slots": self._slots,
                 "trace_ids": sorted(self._traceparents),
--- a/tests/processes/test_orders.py
+++ b/tests/processes/test_orders.py
@@ -123,6 +123,66 @@
     assert runs(fleet, key) == (1 if end == "ran" else 0)
 
 
+@pytest.fixture
+def cuttable():
+    patient = ROW.replace(",3000,", ",30000,")
+    with Fleet(PLACES, f"{TABLE_HEADER}\n{patient}\n", cuttable=True) as running:
+        yield running
+
+
+def cut(fleet, entry, home, answers):
+    """Cut one entry from the home, or the home's answers from the entry."""
+    path = (home, entry) if answers else (entry, home)
+    fleet.paths.cut(*(node.peer_port for node in path))
+
+
+def hold(fleet, held):
+    for node in fleet.nodes:
+        fleet.set_faults(node, held=held)
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_order_whose_home_is_cut_off_one_way_runs_once(cuttable, answers):
+    fleet = cuttable
+    home, entry, other = fleet.nodes
+    key = new_key(fleet, home)
+    hold(fleet, True)
+    patience_ms = 2_000 if answers else 30_000
+    thread, first = in_thread(lambda: send(fleet, entry, key, patience_ms))
+    fleet.wait_for(lambda: running_somewhere(fleet), "the order to run")
+    cut(fleet, entry, home, answers)
+    hold(fleet, False)
+    again = send(fleet, other, key, 30_000), send(fleet, entry, key, 500)
+    thread.join(PATIENCE_S)
+    fleet.paths.heal()
+    assert told(first[0])[0] == ("unknown" if answers else "ran")
+    assert [told(answer)[0] for answer in again] == ["ran", "unknown"]
+    for node in fleet.nodes:
+        fleet.wait_for(
+            lambda node=node: told(send(fleet, node, key)) == ("ran", ""), "the answer"
+        )
+    assert runs(fleet, key) == 1
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_order_sent_into_a_one_way_cut_ends_alike_everywhere(cuttable, answers):
+    fleet = cuttable
+    home, entry, other = fleet.nodes
+    key = new_key(fleet, home)
+    cut(fleet, entry, home, answers)
+    early = [send(fleet, entry, key, deadline_ms=300) for _ in range(2)]
+    assert {told(answer)[0] for answer in early} == {"unknown"}
+    fleet.paths.heal()
+    for node in (entry, other):
+        fleet.wait_for(
+            lambda node=node: told(send(fleet, node, key))[0] in ("ran", "not-run"),
+            "an end",
+        )
+    ends = {told(send(fleet, node, key))[0] for node in fleet.nodes}
+    assert ends == {"ran" if runs(fleet, key) else "not-run"}
+    assert runs(fleet, key) <= 1
+
+
 def test_leaving_home_ends_its_order_and_takes_no_new_one(fleet):
     slow_down(fleet)
     home, *others = fleet.nodes
