End a request whose upstream client fails unexpectedly, and free its slot

Cause: the gate ended a request only at a typed failure of the upstream's client. Any other exception, at the send or in mid answer, left the slot held and the judge's attempt open for ever, and the peer that had sent the request without an answer. Change: `failure_of` takes every exception of the client: the request ends as unknown with the reason `internal`, which the entry counts as it counts every refusal; the slot is released, the upstream is judged, and the error is logged under one event, so the flood limit holds it to a few lines. A probe that fails so is a failed probe. Ruled out: not-run, as nobody knows how much was sent; a `finally` that only releases the slot, as the peer would still wait for its answer.

--- a/chicorychute/services/bodies.py
+++ b/chicorychute/services/bodies.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable, Iterator
 
+import structlog
+
 from chicorychute.core.clock import Clock
-from chicorychute.core.outcomes import Reason
+from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.health.evidence import Result
 from chicorychute.pipeline.values import AnswerBroken
 from chicorychute.transport.calls import UpstreamCall
@@ -12,6 +14,8 @@
 SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
 
+logger = structlog.get_logger()
+
 
 class AnswerBody:
     """Body of an answer; reports its result once, at its end or on `close`.
@@ -47,10 +51,11 @@
             self._waited_s += self._clock.monotonic() - asked_s
             self._end(result_of(self._answer.status))
             raise
-        except UpstreamFailure as failure:
+        except Exception as error:
+            failure = failure_of(error)
             self._waited_s += self._clock.monotonic() - asked_s
             self._end(result_of_failure(failure, self._call))
-            raise AnswerBroken(failure.detail) from failure
+            raise AnswerBroken(failure.detail) from error
         self._waited_s += self._clock.monotonic() - asked_s
         self._size += len(chunk)
         return chunk
@@ -74,6 +79,19 @@
     return Result.FAILED if status >= SERVER_ERROR else Result.OK
 
 
+def failure_of(error: Exception) -> UpstreamFailure:
+    """Return how a request ended whose client raised, an error of its own included.
+
+    Nobody knows how much of the request was sent at an error that no client should
+    raise, so it is told as unknown; the slot is released as at any other end.
+    """
+    if isinstance(error, UpstreamFailure):
+        return error
+    logger.error("gate: a client failed unexpectedly, report it", exc_info=error)
+    detail = f"the client failed ({type(error).__name__})"
+    return UpstreamFailure(Outcome.UNKNOWN, Reason.INTERNAL, detail)
+
+
 def result_of_failure(failure: UpstreamFailure, call: UpstreamCall) -> Result:
     """Return TIMED_OUT where the request's own deadline ended it."""
     if call.cancelled and failure.reason is not Reason.DEADLINE:
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -22,7 +22,12 @@
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, Refused, Reply
-from chicorychute.services.bodies import AnswerBody, result_of, result_of_failure
+from chicorychute.services.bodies import (
+    AnswerBody,
+    failure_of,
+    result_of,
+    result_of_failure,
+)
 from chicorychute.services.recorder import NoRecorder
 from chicorychute.services.slots import UpstreamSlots
 from chicorychute.services.workers import WorkerPool
@@ -219,7 +224,8 @@
                     answer = upstream.client.send(
                         work, body, ticket.deadline_s - started_s
                     )
-            except UpstreamFailure as failure:
+            except Exception as error:
+                failure = failure_of(error)
                 latency_s = self._clock.monotonic() - started_s
                 self._note_failure(upstream, ticket, call, failure)
                 result = result_of_failure(failure, call)
@@ -293,8 +299,8 @@
             for _ in answer.chunks:
                 pass
             result = result_of(answer.status)
-        except UpstreamFailure:
-            pass
+        except Exception as error:
+            failure_of(error)
         latency_s = self._clock.monotonic() - attempt.started_s
         with self._lock:
             upstream.judge.observe(Observation(PROBE_RANK, result, latency_s), attempt)
--- a/tests/services/test_gate.py
+++ b/tests/services/test_gate.py
@@ -9,16 +9,19 @@
 import pytest
 
 from chicorychute.admission.quarantine import Quarantine
-from chicorychute.admission.queue import Granted, Refused
+from chicorychute.admission.queue import Granted
+from chicorychute.admission.queue import Refused as QueueRefused
 from chicorychute.conf.settings import UpstreamSettings
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import Work
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import AnswerBroken, Refused
 from chicorychute.services.gate import GateService
 from chicorychute.services.held import HOLD_LIMIT_S
 from chicorychute.table.parse import parse_table
 from chicorychute.telemetry.tracing import PassThroughTracing
 from chicorychute.transport.calls import UpstreamCall
+from chicorychute.transport.upstream import UpstreamAnswer
 from standins.fleet import TABLE_HEADER
 
 WAIT_S = 20.0  # generous: only a fault lets it pass
@@ -74,13 +77,16 @@
         match decision:
             case Granted():
                 threading.Thread(target=self._run, daemon=True).start()
-            case Refused():
-                self.replies.put(decision)
+            case QueueRefused(_, reason):
+                self.replies.put(Refused(Outcome.NOT_RUN, reason))
 
     def _run(self):
         reply = self.gate.run("u", self.ticket, self.work, b"", self.call)
-        if hasattr(reply, "chunks"):
-            list(reply.chunks)
+        try:
+            if hasattr(reply, "chunks"):
+                list(reply.chunks)
+        except AnswerBroken:
+            reply = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)
         self.replies.put(reply)
 
     def cancel(self):
@@ -264,3 +270,25 @@
     for _ in range(2):
         upstream.next().sendall(ANSWER)
     assert {runs[0].reply().status, other.reply().status} == {200}
+
+
+def odd_chunks():
+    yield b"o"
+    raise MemoryError
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_error_that_no_client_should_raise_ends_the_request_and_its_slot(
+    gate, clock, monkeypatch, late
+):
+    def send(work, body, timeout_s):
+        if not late:
+            raise MemoryError
+        return UpstreamAnswer(200, (), 2, odd_chunks(), lambda: None)
+
+    client = gate._upstream_by_id["u"].client
+    monkeypatch.setattr(client, "send", send)
+    first, second = Run(gate, clock), Run(gate, clock, "b")
+    for run in (first, second):
+        assert run.reply().outcome is Outcome.UNKNOWN
+    assert gate.idle()
