Show over interleavings that "not run" is told only where it is true

Cause: only the attempt loop alone was shown to tell no less than may have run; the ranked queue, the gate, the links and the exchanges were not in it. Change: a property test drives the real entry, exchanges, peer service, gate, queue and quarantine of three daemons, one of which only enters requests. One thread goes on at a time and only when a step resumes it; links deliver when a step says so; the client of an upstream notes whose bytes it has sent. Steps: place, deliver, resume, connect, refuse, answer, lose or crash, unexpected error, hang up, tick, time, cut, freeze. No request is told "not run" whose bytes were sent, no answer comes without a send, no order is sent twice, slots are not exceeded, and every request ends with its slot free. Ruled out: greenlets, which are not among the libraries; real threads racing, which give another verdict each time.

--- /dev/null
+++ b/tests/services/interleaved.py
@@ -0,0 +1,472 @@
+"""Daemons whose every step is chosen by a test: entries, gates, links, upstreams.
+
+The real entry, exchanges, peer service and gate run on threads of which one goes on
+at a time, and only while the test resumes it, so a list of steps is one schedule.
+"""
+
+import itertools
+import queue
+import random
+import threading
+from collections import Counter, deque
+from types import SimpleNamespace
+
+import attrs
+
+from chicorychute.admission.quarantine import Quarantine
+from chicorychute.conf.settings import UpstreamSettings
+from chicorychute.core.clock import ManualClock
+from chicorychute.core.messages import (
+    Cancel,
+    Forward,
+    MemberRecord,
+    MemberStatus,
+    QuarantineNotice,
+    Relay,
+)
+from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.pipeline.values import AnswerBroken, Refused, Request
+from chicorychute.routing.candidates import Candidate, Distance
+from chicorychute.services.entry import EntryService
+from chicorychute.services.exchanges import Exchanges
+from chicorychute.services.gate import GateService
+from chicorychute.services.peers import PeerService
+from chicorychute.table.parse import parse_table
+from chicorychute.telemetry.tracing import PassThroughTracing
+from chicorychute.transport import calls
+from chicorychute.transport.link import LinkClock
+from chicorychute.transport.links import LinkError
+from chicorychute.transport.upstream import UpstreamAnswer, UpstreamFailure
+from chicorychute.transport.windows import AnswerWindows
+from standins.fleet import TABLE_HEADER
+
+ROWS = """s,lookup,GET /l/*,2,0.2,100,1000,idempotent,0.5,1,0.5,1,0,1000
+s,order,POST /o/*,1,0.2,100,1000,once,0.5,1,0.5,1,0,1000
+"""
+TABLE = parse_table(1, f"{TABLE_HEADER}\n{ROWS}").ok_value
+SLOTS = 1
+REQUESTS_LIMIT = 6
+HOSTS = ("a", "b")  # each beside an upstream; "x" only enters requests
+ENDINGS_ROUNDS = 16  # longer than any deadline
+ROUND_S = 0.1
+
+_own = threading.local()
+
+
+@attrs.define(eq=False)
+class Actor:
+    """One thread of a daemon, which goes on when the test resumes it."""
+
+    stage: "Stage"
+    daemon: "Daemon"
+    go: threading.Semaphore = attrs.field(factory=lambda: threading.Semaphore(0))
+    ready: object = lambda: True
+
+    def wait(self, ready):
+        """Let the test go on until it resumes this thread, once `ready()`."""
+        self.ready = ready
+        self.stage.back.release()
+        self.go.acquire()
+
+
+class Stage:
+    """Runs one actor at a time."""
+
+    def __init__(self):
+        self.back = threading.Semaphore(0)
+        self.actors = []
+
+    def start(self, daemon, run):
+        actor = Actor(self, daemon)
+        self.actors.append(actor)
+        threading.Thread(target=self._play, args=(actor, run), daemon=True).start()
+
+    def _play(self, actor, run):
+        actor.go.acquire()
+        _own.actor = actor
+        try:
+            run()
+        except RuntimeError:
+            pass  # a pool's thread logs it and goes on
+        finally:
+            self.actors.remove(actor)
+            self.back.release()
+
+    def resume(self, actor):
+        actor.go.release()
+        self.back.acquire()
+
+    def ready(self):
+        return [a for a in self.actors if not a.daemon.frozen and a.ready()]
+
+
+class StagedQueue:
+    """Stands for `queue.SimpleQueue` in the code under test."""
+
+    def __init__(self):
+        self._items = deque()
+
+    def put(self, item):
+        self._items.append(item)
+
+    def get(self, timeout=None):
+        clock = _own.actor.daemon.world.clock
+        end_s = None if timeout is None else clock.monotonic() + timeout
+
+        def ready():
+            late = end_s is not None and clock.monotonic() >= end_s
+            return self._items or late
+
+        _own.actor.wait(ready)
+        if not self._items:
+            raise queue.Empty
+        return self._items.popleft()
+
+
+QUEUE_MODULE = SimpleNamespace(SimpleQueue=StagedQueue, Empty=queue.Empty)
+
+
+class End:
+    """One side of a link; what it sends waits until a step delivers it."""
+
+    def __init__(self, receiver):
+        self.receiver = receiver
+        self.other = None
+        self.clock = LinkClock()
+        self.windows = AnswerWindows()
+        self.closed = False
+        self.sent = deque()
+
+    def send(self, message):
+        if self.closed:
+            raise LinkError("closed", "choose another peer")
+        self.sent.append(message)
+
+
+@attrs.define(eq=False)
+class Send:
+    """A request at its upstream's client; `end` is what the test has chosen."""
+
+    target: str
+    call: calls.UpstreamCall
+    end: object = None
+    reached: bool = False
+
+
+class StagedClient:
+    """Stands for the client of an upstream; notes whose bytes it has sent."""
+
+    def __init__(self, world, upstream):
+        self._world = world
+        self._upstream = upstream
+
+    def send(self, work, body, timeout_s):
+        world = self._world
+        end_s = world.clock.monotonic() + timeout_s
+        send = Send(work.target, calls._current.call)
+        world.connecting.append(send)
+        self._wait(send, end_s)
+        world.connecting.remove(send)
+        if send.end is None:
+            raise UpstreamFailure(Outcome.NOT_RUN, Reason.UPSTREAM_REFUSED, "late")
+        send.end()
+        return self._run(send, end_s)
+
+    def _run(self, send, end_s):
+        world = self._world
+        world.note_reached(self._upstream, send.target)
+        send.end, send.reached = None, True
+        world.running.append(send)
+        self._wait(send, end_s)
+        world.running.remove(send)
+        world.busy[self._upstream] -= 1
+        if send.end is None:
+            reason = Reason.UPSTREAM_LOST if send.call.cancelled else Reason.DEADLINE
+            raise UpstreamFailure(Outcome.UNKNOWN, reason, "")
+        status = send.end()
+        return UpstreamAnswer(status, (), 2, iter([b"ok"]), lambda: None)
+
+    def _wait(self, send, end_s):
+        def ready():
+            late = self._world.clock.monotonic() >= end_s
+            return send.end or late or (send.reached and send.call.cancelled)
+
+        _own.actor.wait(ready)
+
+
+class Pool:
+    """Stands for a daemon's pool of threads."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    def submit(self, run):
+        self._daemon.world.stage.start(self._daemon, run)
+
+
+class Daemon:
+    """The parts of one daemon that send and run requests."""
+
+    def __init__(self, world, name):
+        self.world, self.name, self.frozen = world, name, False
+        clock = world.clock
+        beside = [UpstreamSettings(f"u-{name}", "s", "http://u")]
+        self.gate = GateService(
+            beside if name in HOSTS else [],
+            clock,
+            PassThroughTracing(random.Random(1)),
+            lambda service: [],
+            Quarantine(name, 1, clock),
+            self._tell,
+        )
+        self.gate._pool = Pool(self)
+        for id, upstream in self.gate._upstream_by_id.items():
+            upstream.client = StagedClient(world, id)
+        self.gate.apply(TABLE)
+        self.exchanges = Exchanges(clock)
+        self.entry = EntryService(
+            self.gate, self, self.exchanges, lambda: self, clock, random.Random(2)
+        )
+        self.peers = PeerService(self.gate, clock, self._handle, lambda: TABLE)
+        self.peers._relays = Pool(self)
+        self.peers.apply(TABLE)
+
+    def own(self):
+        return self.record_of(self.name)
+
+    def record_of(self, instance):
+        alive = MemberStatus.ALIVE
+        return MemberRecord(instance, 1, 1, alive, instance, 1, "z", "r", 1, ())
+
+    def hosts(self, service):
+        return [self.record_of(name) for name in HOSTS]
+
+    def candidates(self, service):
+        if self.name not in HOSTS:
+            return []
+        return [
+            Candidate(name, self.world.daemon(name).gate.digests()[0], self._far(name))
+            for name in HOSTS
+        ]
+
+    def _far(self, name):
+        return Distance.LOCAL if name == self.name else Distance.ZONE
+
+    def link_to(self, address):
+        return self.world.link(self.name, address[0])
+
+    def _tell(self, notices):
+        for name in self.world.daemon_by_name.keys() - {self.name}:
+            for notice in notices:
+                self.link_to((name, 1)).send(notice)
+
+    def _handle(self, request):
+        request.row = self.world.row_of(request)
+        request.deadline_s = request.received_s + request.asked_ms / 1000
+        return self.entry.handle(request)
+
+    def take(self, end, message):
+        match message:
+            case Forward() | Relay():
+                self.peers.on_call(end, message)
+            case Cancel():
+                end.windows.cancel(message.id)
+                self.peers.on_cancel(end, message)
+            case QuarantineNotice():
+                self.gate.on_notice(message)
+            case _:
+                self.exchanges.on_part(end, message)
+
+    def closed(self, end):
+        end.closed = True
+        end.windows.close()
+        self.exchanges.on_closed(end)
+        self.peers.on_closed(end)
+
+    def call(self, request):
+        try:
+            reply = self.entry.handle(request)
+            if not isinstance(reply, Refused):
+                for _ in reply.chunks:
+                    pass
+        except AnswerBroken:
+            reply = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST)
+        except RuntimeError:  # the edge tells the same
+            reply = Refused(Outcome.UNKNOWN, Reason.INTERNAL)
+        self.world.replies[request.target] = reply
+
+
+class World:
+    """Plays steps of (name, number); `fault` tells which promise was broken."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.stage = Stage()
+        self.requests, self.replies = [], {}
+        self.connecting, self.running = [], []
+        self.reached, self.busy = Counter(), Counter()
+        self.listening = True
+        self.fault = ""
+        self._end_by_pair = {}
+        self.daemon_by_name = {name: Daemon(self, name) for name in ("x", *HOSTS)}
+
+    def daemon(self, name):
+        return self.daemon_by_name[name]
+
+    def row_of(self, request):
+        rank = "order" if request.target.startswith("/o/") else "lookup"
+        return TABLE.by_rank["s", rank]
+
+    def link(self, near, far):
+        if (near, far) not in self._end_by_pair:
+            ends = End(self.daemon(far)), End(self.daemon(near))
+            ends[0].other, ends[1].other = ends[1], ends[0]
+            self._end_by_pair[near, far], self._end_by_pair[far, near] = ends
+        return self._end_by_pair[near, far]
+
+    def note_reached(self, upstream, target):
+        self.reached[target] += 1
+        self.busy[upstream] += 1
+        if self.busy[upstream] > SLOTS:
+            self.fault = "more requests than slots"
+        if target.startswith("/o/") and self.reached[target] > 1:
+            self.fault = "an order ran twice"
+
+    def play(self, steps):
+        for name, number in steps:
+            getattr(self, name)(number)
+        self._end()
+        self.fault = self.fault or self._broken_promise()
+        return self
+
+    def _place(self, method, prefix, number, key):
+        if len(self.requests) == REQUESTS_LIMIT:
+            return
+        daemon = self.daemon("xab"[number % 3])
+        now_s = self.clock.monotonic()
+        target = f"{prefix}{len(self.requests)}"
+        request = Request(method, target, (), b"", "", key, "", now_s)
+        request.deadline_s = now_s + (0.3 if number % 2 else 1.0)
+        request.row = self.row_of(request)
+        self.requests.append(request)
+        self.stage.start(daemon, lambda: daemon.call(request))
+
+    def place_lookup(self, number):
+        self._place("GET", "/l/", number, "")
+
+    def place_order(self, number):
+        self._place("POST", "/o/", number, "home@1.0/a")
+
+    def deliver(self, number):
+        waiting = [
+            end
+            for end in self._end_by_pair.values()
+            if end.sent and not end.receiver.frozen
+        ]
+        if waiting:
+            end = waiting[number % len(waiting)]
+            end.receiver.take(end.other, end.sent.popleft())
+
+    def resume(self, number):
+        ready = self.stage.ready()
+        if ready:
+            self.stage.resume(ready[number % len(ready)])
+
+    def _choose(self, sends, number, end):
+        open_sends = [send for send in sends if send.end is None]
+        if open_sends:
+            open_sends[number % len(open_sends)].end = end
+
+    def connect(self, number):
+        self._choose(self.connecting, number, lambda: None)
+
+    def refuse(self, number):
+        failure = UpstreamFailure(Outcome.NOT_RUN, Reason.UPSTREAM_REFUSED, "")
+        self._choose(self.connecting, number, lambda: _throw(failure))
+
+    def break_early(self, number):
+        self._choose(self.connecting, number, lambda: _throw(RuntimeError("odd")))
+
+    def break_late(self, number):
+        self._choose(self.running, number, lambda: _throw(RuntimeError("odd")))
+
+    def answer(self, number):
+        status = (200, 500, 503)[number % 3]
+        self._choose(self.running, number, lambda: status)
+
+    def lose(self, number):
+        """Let the upstream hang up, or crash."""
+        failure = UpstreamFailure(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, "")
+
+        def end():
+            self.listening = bool(number % 2)
+            raise failure
+
+        self._choose(self.running, number, end)
+
+    def hang_up(self, number):
+        if self.requests:
+            self.requests[number % len(self.requests)].scope.cancel()
+
+    def tick(self, number):
+        daemon = self.daemon(HOSTS[number % 2])
+        if not daemon.frozen:
+            daemon.gate.tick()
+
+    def advance(self, number):
+        self.clock.advance(number * 0.01)
+
+    def flow(self, number):
+        """Let a part of what can go on do so."""
+        for _ in range(number):
+            self.deliver(number)
+            self.resume(number)
+
+    def cut(self, number):
+        """Lose a link with all that is on its way."""
+        for near, far in itertools.islice(self._end_by_pair, number, number + 1):
+            if self.daemon(near).frozen or self.daemon(far).frozen:
+                return
+            ends = (
+                self._end_by_pair.pop((near, far)),
+                self._end_by_pair.pop((far, near)),
+            )
+            for end in ends:
+                end.other.receiver.closed(end)
+            return
+
+    def freeze(self, number):
+        daemon = self.daemon("xab"[number % 3])
+        daemon.frozen = not daemon.frozen
+
+    def _end(self):
+        """Let every request end, by its deadline if nothing else ends it."""
+        for daemon in self.daemon_by_name.values():
+            daemon.frozen = False
+        for _ in range(ENDINGS_ROUNDS):
+            self._settle()
+            self.clock.advance(ROUND_S)
+            self.tick(0)
+            self.tick(1)
+
+    def _settle(self):
+        while self.stage.ready() or any(e.sent for e in self._end_by_pair.values()):
+            self.deliver(0)
+            self.resume(0)
+
+    def _broken_promise(self):
+        if self.stage.actors or len(self.replies) < len(self.requests):
+            return "a request never ended"
+        for target, reply in self.replies.items():
+            not_run = isinstance(reply, Refused) and reply.outcome is Outcome.NOT_RUN
+            if not_run and self.reached[target]:
+                return "told not run, but an upstream was reached"
+            if not isinstance(reply, Refused) and not self.reached[target]:
+                return "answered without an upstream"
+        if not all(self.daemon(name).gate.idle() for name in HOSTS):
+            return "a slot was kept for ever"
+        return ""
+
+
+def _throw(error):
+    raise error
