--- a/tests/processes/test_flood.py
+++ b/tests/processes/test_flood.py
@@ -84,13 +84,13 @@
         fleet.set_faults(node, held=False)
         for thread in urgent:
             thread.join()
-        begun = [path.split("/")[1] for path in fleet.counts(node)["begun"]]
+        arrived = [path.split("/")[1] for path in fleet.counts(node)["arrived"]]
         callers.stopped.set()
         for thread in flood:
             thread.join()
     assert callers.outcomes["lookup", "ran"] == URGENT_CALLERS
     assert callers.outcomes["check", "ran"] > 0
-    released = begun[SLOTS:]
+    released = arrived[SLOTS:]
     before_last = released[: len(released) - released[::-1].index("lookup")]
     checks = before_last.count("check")
     assert checks <= CHECK_SHARE * len(before_last) + SLOTS
