Tell digests to the peers of their service, each owner its own

Cause: in a fleet above 64 daemons, whole records of 8 upstreams were relayed where a peer wants one service's digest. Gossip records of a large fleet hold no digests, and a round asks one peer. Version 2 of the link. A newcomer still gets the digests it shares in the first answer.

--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -10,7 +10,7 @@
 
 from chicorychute.core.outcomes import Outcome, Reason
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -278,6 +278,24 @@
     records: tuple[MemberRecord, ...] = attrs.field(metadata={"item": MemberRecord})
 
 
+@attrs.frozen
+class DigestUpdate:
+    """Tells a peer the digests of the services that both sides host.
+
+    Attributes
+    ----------
+    incarnation, heartbeat : int
+        Of the sender, whose digests these are.
+    """
+
+    sender: str
+    incarnation: int
+    heartbeat: int
+    upstreams: tuple[UpstreamDigest, ...] = attrs.field(
+        metadata={"item": UpstreamDigest}
+    )
+
+
 @attrs.frozen
 class ProbeRequest:
     """Asks a peer to find out whether another instance lives."""
@@ -350,4 +368,5 @@
     | ProbeRequest
     | TableAnnounce
     | AnswerCredit
+    | DigestUpdate
 )
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -19,6 +19,7 @@
     AnswerHead,
     BodyChunk,
     Cancel,
+    DigestUpdate,
     Forward,
     Gossip,
     Hello,
@@ -382,6 +383,8 @@
             case Gossip():
                 self._fleet.on_gossip(link, message)
                 self._tables.on_gossip(link, message)
+            case DigestUpdate():
+                self._fleet.on_digests(message)
             case ProbeRequest():
                 self._fleet.on_probe_request(message)
             case TableAnnounce():
--- a/chicorychute/membership/composer.py
+++ b/chicorychute/membership/composer.py
@@ -1,12 +1,12 @@
 """Composes gossip messages, bounded at any size of the fleet."""
 
-import random
+import attrs
 
 from chicorychute.core.messages import Gossip, MemberRecord, MemberStatus
+from chicorychute.membership.digests import of_services
 from chicorychute.membership.members import Member, Members
 from chicorychute.membership.records import services_of, without_detail
 from chicorychute.membership.selection import (
-    DETAIL_RECORDS,
     REPAIR_RECORDS,
     SMALL_FLEET,
     SMALL_FLEET_RECORDS,
@@ -17,71 +17,57 @@
 class Composer:
     """Chooses which records a peer is told, and which of them whole."""
 
-    def __init__(self, members: Members, rng: random.Random):
+    def __init__(self, members: Members):
         self._members = members
-        self._rng = rng
 
     def message(self, own: MemberRecord, receiver: str, reply: bool) -> Gossip:
         """Return the gossip of one round for a peer."""
-        records = {own.instance: self._shown(own, receiver)}
+        records = {own.instance: self._shown(own)}
         for instance in self._chosen(own, receiver):
             member = self._members.by_id.get(instance)
             if member is not None:
-                records[instance] = self._told(member, receiver)
+                records[instance] = self._shown(self._told(member))
         return Gossip(own.instance, reply, tuple(records.values()))
 
     def everything(self, own: MemberRecord, receiver: str) -> Gossip:
         """Return the answer for a newcomer: every instance that is present."""
-        records = [self._shown(own, receiver)]
+        records = [own]
         for instance in self._members.present.ids():
-            records.append(self._told(self._members.by_id[instance], receiver))
+            records.append(self._told(self._members.by_id[instance]))
+        if not self._small:
+            wanted = services_of(self._members.by_id[receiver].record)
+            records = [_shared(record, wanted) for record in records]
         return Gossip(own.instance, False, tuple(records))
 
     def _chosen(self, own: MemberRecord, receiver: str) -> list[str]:
         chosen = [receiver] if self._doubted(receiver) else []
         chosen.extend(self._members.news.take())
-        if len(self._members.present) <= SMALL_FLEET:
+        if self._small:
             chosen.extend(self._members.present.take(Turn.DETAIL, SMALL_FLEET_RECORDS))
-        else:
-            chosen.extend(self._hosts_shared(own, receiver))
         chosen.extend(self._members.present.take(Turn.REPAIR, REPAIR_RECORDS))
         return chosen
 
-    def _hosts_shared(self, own: MemberRecord, receiver: str) -> list[str]:
-        member = self._members.by_id.get(receiver)
-        if member is None:
-            return []
-        shared = set(services_of(member.record)).intersection(own.services)
-        hosts = {i for service in shared for i in self._members.hosts.of(service)}
-        present = sorted(hosts & self._members.present.members() - {receiver})
-        return self._rng.sample(present, min(DETAIL_RECORDS, len(present)))
-
     def _doubted(self, instance: str) -> bool:
         member = self._members.by_id.get(instance)
         return member is not None and member.record.status is not MemberStatus.ALIVE
 
-    def _told(self, member: Member, receiver: str) -> MemberRecord:
-        return self._shown(member.record, receiver, member.detail)
+    def _shown(self, record: MemberRecord) -> MemberRecord:
+        return record if self._small else without_detail(record)
 
-    def _shown(
-        self,
-        record: MemberRecord,
-        receiver: str,
-        detail: MemberRecord | None = None,
-    ) -> MemberRecord:
-        if not self._wants_detail(record, receiver):
-            return without_detail(record)
-        if detail is None or detail.heartbeat == record.heartbeat:
+    def _told(self, member: Member) -> MemberRecord:
+        record, detail = member.record, member.detail
+        if detail.heartbeat == record.heartbeat or not detail.whole:
             return record
-        if record.status is MemberStatus.ALIVE and detail.whole:
-            return detail
-        return record
+        return detail if record.status is MemberStatus.ALIVE else record
+
+    @property
+    def _small(self) -> bool:
+        return len(self._members.present) <= SMALL_FLEET
+
 
-    def _wants_detail(self, record: MemberRecord, receiver: str) -> bool:
-        if len(self._members.present) <= SMALL_FLEET:
-            return True
-        member = self._members.by_id.get(receiver)
-        if member is None:
-            return False
-        wanted = services_of(member.record)
-        return not set(services_of(record)).isdisjoint(wanted)
+def _shared(record: MemberRecord, wanted: tuple[str, ...]) -> MemberRecord:
+    """Return the record with the digests of the services that a peer hosts."""
+    told = of_services(record.upstreams, wanted)
+    if not told:
+        return without_detail(record)
+    return attrs.evolve(record, upstreams=told)
--- a/chicorychute/membership/selection.py
+++ b/chicorychute/membership/selection.py
@@ -7,7 +7,7 @@
 
 SMALL_FLEET = 64  # up to here every daemon knows every upstream
 SMALL_FLEET_RECORDS = 12  # whole records in each message of a small fleet
-DETAIL_RECORDS = 8  # whole records of services that both sides host
+DIGEST_PEERS = 16  # peers told the own digests in a round of a large fleet
 NEWS_RECORDS = 16  # records that changed lately, each message
 REPAIR_RECORDS = 4  # records sent in turn, each message
 NEWS_FACTOR = 3  # sends of one change for each doubling of the fleet
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -1,8 +1,9 @@
 """What one daemon believes about every instance, spread by gossip.
 
-Every round asks one instance in turn and one peer that shares a service. The
-messages are bounded: own record, changes, peers that share a service, and a few
-others in turn. Silence accuses nobody; a failed round trip does, see `probes`.
+Every round asks one instance in turn. The messages are bounded: own record, changes
+and a few others in turn. In a small fleet a round asks a second peer, and records
+hold digests; in a large one `digests` tells them to those that share a service.
+Silence accuses nobody; a failed round trip does, see `probes`.
 """
 
 import random
@@ -12,6 +13,7 @@
 
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import (
+    DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
@@ -20,11 +22,12 @@
     UpstreamDigest,
 )
 from chicorychute.membership.composer import Composer
+from chicorychute.membership.digests import DigestTeller, with_update
 from chicorychute.membership.listing import Listing
 from chicorychute.membership.members import Members
 from chicorychute.membership.probes import Askers, Finding, Probes
 from chicorychute.membership.records import claim
-from chicorychute.membership.selection import Turn
+from chicorychute.membership.selection import SMALL_FLEET, Turn
 
 HELPERS = 3
 PAUSE_FACTOR = 0.5  # of the suspicion period, between two rounds: was paused
@@ -72,7 +75,8 @@
         self._probes = Probes(suspect_after_s, clock)
         self._members = Members(clock, self._probes.showed_life)
         self._members.share_services(own.services)
-        self._composer = Composer(self._members, rng)
+        self._composer = Composer(self._members)
+        self._teller = DigestTeller(self._members)
         self._askers = Askers(suspect_after_s, clock)
         self._listing = Listing(clock)
         self._last_round_s = clock.monotonic()
@@ -100,7 +104,7 @@
     ) -> None:
         """Raise the own heartbeat and replace the own digests."""
         services = tuple(sorted({digest.service for digest in upstreams}))
-        changed = services != self._own.services
+        before = self._own
         self._own = attrs.evolve(
             self._own,
             heartbeat=self._own.heartbeat + 1,
@@ -109,8 +113,10 @@
             upstreams=upstreams,
             services=services,
         )
-        if changed:
+        if services != before.services:
             self._members.share_services(services)
+        if self._large:
+            self._teller.note(before, self._own)
 
     def leave(self) -> Gossip:
         """Mark the own instance as leaving; returns the message for every peer."""
@@ -177,6 +183,9 @@
         for partner in self._partners():
             self._probes.start(partner)
             sends.append(Send(partner, self.message_for(partner, True)))
+        if self._large and self._own.status is MemberStatus.ALIVE:
+            updates = self._teller.updates(self._own)
+            sends.extend(Send(peer, update) for peer, update in updates)
         return tuple(sends)
 
     def message_for(self, instance: str, reply: bool) -> Gossip:
@@ -199,6 +208,14 @@
             return (Send(sender, self._composer.everything(self._own, sender)),)
         return (Send(sender, self.message_for(sender, False)),)
 
+    def on_digests(self, update: DigestUpdate) -> None:
+        """Take the digests that a peer tells of its own upstreams."""
+        known = self._members.record_of(update.sender)
+        if known is None or known.incarnation != update.incarnation:
+            return
+        self._probes.heard(update.sender)
+        self._members.merge(with_update(known, update))
+
     def on_probe_request(self, request: ProbeRequest) -> tuple[Send, ...]:
         """Ask an instance for a peer that got no answer from it."""
         target = request.target
@@ -224,6 +241,10 @@
         incarnations = {record.instance: record.incarnation for record in known}
         return self._listing.take(self._own.instance, flagged, staying, incarnations)
 
+    @property
+    def _large(self) -> bool:
+        return len(self._members.present) > SMALL_FLEET
+
     def _tell_askers(self, target: str) -> tuple[Send, ...]:
         askers = self._askers.take(target)
         if not askers:
@@ -288,9 +309,9 @@
 
     def _partners(self) -> list[str]:
         partners = self._members.present.take(Turn.PROBE, 1)
-        if self._members.sharing:
+        if self._members.sharing and not self._large:
             partners.append(self._rng.choice(self._members.sharing.ids()))
-        elif len(self._members.present) > 1:
+        elif len(self._members.present) > 1 and not self._large:
             partners.append(self._rng.choice(self._members.present.ids()))
         if self._members.lost_paths:
             partners.append(self._rng.choice(sorted(self._members.lost_paths)))
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from chicorychute.core.messages import (
+    DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
@@ -144,6 +145,11 @@
                 self._senders.answer(link, send.message)
         self._send_all(s for s in sends if s.instance != message.sender)
 
+    def on_digests(self, update: DigestUpdate) -> None:
+        """Take the digests that a peer tells of its own upstreams."""
+        with self._lock:
+            self._view.on_digests(update)
+
     def on_probe_request(self, request: ProbeRequest) -> None:
         """Ask an instance for a peer that got no answer from it."""
         with self._lock:
--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -148,6 +148,9 @@
     return check
 
 
+# Written with the fewest bytes that hold each number; other messages go faster.
+COMPACT = frozenset({messages.DigestUpdate})
+
 MALFORMED = (
     cbor2.CBORDecodeError,
     KeyError,
@@ -164,7 +167,8 @@
 def encode(message: Message) -> bytes:
     """Return the CBOR array ``[code, field, ...]`` of a message."""
     cls = type(message)
-    return cbor2.dumps([_CODE_BY_CLASS[cls], *_PACK_BY_CLASS[cls](message)])
+    values = [_CODE_BY_CLASS[cls], *_PACK_BY_CLASS[cls](message)]
+    return cbor2.dumps(values, canonical=cls in COMPACT)
 
 
 def decode(frame: bytes) -> Message:
--- a/tests/membership/net.py
+++ b/tests/membership/net.py
@@ -5,6 +5,7 @@
 
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import (
+    DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
@@ -105,6 +106,9 @@
         match message:
             case Gossip():
                 return view.on_gossip(message)
+            case DigestUpdate():
+                view.on_digests(message)
+                return ()
             case ProbeRequest():
                 return view.on_probe_request(message)
 
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -28,6 +28,7 @@
     messages.TableRequest(3),
     messages.TableUpdate(4, "text"),
     messages.QuarantineNotice("f", "u1", 30.0),
+    messages.DigestUpdate("i1", 5, 6, (DIGEST,)),
     messages.ProbeRequest("i1", "i2"),
     messages.TableAnnounce(4, "00ff"),
 ]
