Replay traces by plain decisions too, and let the queue learn in a replay

Cause: the replay released a slot without its ticket, so the queue never learnt how long a rank runs, and its early refusal and its shares were not exercised. Plain orders and judges could not be put behind a trace. Conclusion: the traces now hold the queue's decisions to account.

--- a/chicorychute/replay/baselines.py
+++ b/chicorychute/replay/baselines.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import UpstreamDigest, Verdict
+from chicorychute.core.messages import RankDigest, UpstreamDigest, Verdict
 from chicorychute.health.evidence import Observation, Result
 from chicorychute.health.judge import Attempt
 
@@ -15,9 +15,21 @@
 
 
 class PlainJudge:
-    """Part that the plain judges share: a fixed time out, then back in full."""
+    """Part that the plain judges share: a fixed time out, then back in full.
+
+    Attributes
+    ----------
+    sensitivity : float
+        Taken from the table and without effect.
+    """
+
+    reason = "plain limit"
+    failure_share = 0.0
+    weight = 1.0
+    suspicion = 0.0
 
     def __init__(self, clock: Clock):
+        self.sensitivity = 1.0
         self._clock = clock
         self._verdict = Verdict.HEALTHY
         self._until_s = 0.0
@@ -46,6 +58,15 @@
         )
         self._peer_latency_s = known[len(known) // 2] if known else 0.0
 
+    @property
+    def latency_s(self) -> float:
+        """Latency that the peers are told, 0 where none is kept."""
+        return self._latency_s
+
+    def rank_digests(self) -> tuple[RankDigest, ...]:
+        """Return no detail by rank: plain judges keep none."""
+        return ()
+
     def digest(self, upstream: str) -> UpstreamDigest:
         """Return what the peers are told."""
         latency_ms = self._latency_s * 1000
--- a/chicorychute/replay/player.py
+++ b/chicorychute/replay/player.py
@@ -16,7 +16,7 @@
     Ticket,
     UpstreamQueue,
 )
-from chicorychute.core.clock import ManualClock
+from chicorychute.core.clock import Clock, ManualClock
 from chicorychute.core.messages import UpstreamDigest, Verdict
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
 from chicorychute.health.judge import Attempt, UpstreamJudge
@@ -28,6 +28,7 @@
     Measures,
     ServiceLevel,
 )
+from chicorychute.replay.orders import MIXTURE, ServiceOrder
 from chicorychute.replay.trace import (
     EndEvent,
     FloodEvent,
@@ -53,6 +54,29 @@
 RETRIED = frozenset((Result.FAILED, Result.SHED))
 
 
+@attrs.frozen
+class Decisions:
+    """Decisions that a replay is driven by, those in force unless replaced.
+
+    Attributes
+    ----------
+    make_judge : callable
+        Returns the judge of one upstream.
+    eligible : callable
+        Returns the upstreams that a request may be sent to.
+    retries : bool
+        Whether a request that failed is sent once more, where it may.
+    """
+
+    order: ServiceOrder = MIXTURE
+    make_judge: Callable[[Clock], UpstreamJudge] = UpstreamJudge
+    eligible: Callable[..., list[Candidate]] = eligible
+    retries: bool = True
+
+
+IN_FORCE = Decisions()
+
+
 @attrs.define(eq=False)
 class _Upstream:
     id: str
@@ -96,9 +120,12 @@
     ----------
     events : list of TracedEvent
         Events as `read_trace` gave them.
+    decisions : Decisions
+        What decides; a bench passes plain decisions here.
     """
 
-    def __init__(self, events: list[TracedEvent]):
+    def __init__(self, events: list[TracedEvent], decisions: Decisions = IN_FORCE):
+        self._decisions = decisions
         self._events = sorted(events, key=lambda traced: (traced.at_s, traced.line))
         self._clock = ManualClock()
         self._rng = random.Random(SEED)
@@ -153,8 +180,8 @@
                     self._upstream_by_id[name] = _Upstream(
                         name,
                         service,
-                        UpstreamQueue(0, (), self._clock),
-                        UpstreamJudge(self._clock),
+                        self._make_queue(),
+                        self._decisions.make_judge(self._clock),
                     )
             case TableEvent(text):
                 self._apply(traced.line, text)
@@ -170,6 +197,10 @@
             case VerdictEvent() | EndEvent():
                 pass
 
+    def _make_queue(self) -> UpstreamQueue:
+        order = self._decisions.order
+        return order.make_queue(0, (), self._clock, order.make())
+
     def _apply(self, line: int, text: str) -> None:
         parsed = parse_table(1, text)
         if isinstance(parsed, Err):
@@ -180,7 +211,7 @@
             rows = self._table.by_service.get(upstream.service, ())
             policies = tuple(RankPolicy(r.rank, r.priority, r.share) for r in rows)
             slots = max((row.slots for row in rows), default=0)
-            upstream.queue.configure(slots, policies)
+            upstream.queue.configure(slots, self._decisions.order.adapt(policies))
             upstream.judge.sensitivity = max(
                 (row.sensitivity for row in rows), default=1.0
             )
@@ -223,7 +254,8 @@
             return
         request = attrs.evolve(request, moved=upstream is not bound)
         deadline_s = request.traced.at_s + request.event.deadline_ms / 1000
-        ticket = Ticket(request.event.rank, deadline_s)
+        rank = self._decisions.order.rank_of(request.event.rank)
+        ticket = Ticket(rank, deadline_s)
         self._request_by_ticket[ticket] = (upstream, request)
         self._deliver([upstream.queue.submit(ticket)])
 
@@ -238,7 +270,7 @@
             for digest in self._told(bound.service)
         ]
         tried = frozenset((request.failed_at,))
-        kept = eligible(candidates, row.floor, draw)
+        kept = self._decisions.eligible(candidates, row.floor, draw)
         left = [c.digest.upstream for c in kept if c.digest.upstream not in tried]
         if bound.id in left:
             return bound
@@ -250,6 +282,8 @@
     def _may_retry(self, request: _Request, result: Result) -> bool:
         if request.failed_at or not self._whole or result not in RETRIED:
             return False
+        if not self._decisions.retries:
+            return False
         if request.row.repeat is not Repeat.IDEMPOTENT:
             return False
         return self._budget_by_service[request.row.service].withdraw()
@@ -270,8 +304,9 @@
         result = request.result()
         if latency_s > left_s:
             result, latency_s = Result.TIMED_OUT, left_s
-        attempt = upstream.judge.begin(ticket.rank)
-        observation = Observation(ticket.rank, result, latency_s, request.size())
+        rank = request.event.rank
+        attempt = upstream.judge.begin(rank)
+        observation = Observation(rank, result, latency_s, request.size())
         end_s = self._clock.monotonic() + latency_s
         self._at(end_s, self._end, ticket, observation, attempt)
 
@@ -281,13 +316,13 @@
         self._note(upstream)
         if self._may_retry(request, observation.result):
             self._send(upstream, attrs.evolve(request, failed_at=upstream.id))
-            self._deliver(upstream.queue.release())
+            self._deliver(upstream.queue.release(ticket))
             return
         took_s = self._clock.monotonic() - request.traced.at_s
         answered = observation.result is Result.OK and observation.bytes != 0
         met = answered and took_s * 1000 <= request.row.target_ms
         self._count(upstream, request, met)
-        self._deliver(upstream.queue.release())
+        self._deliver(upstream.queue.release(ticket))
 
     def _count(self, upstream: _Upstream, request: _Request, met: bool) -> None:
         rank = request.event.rank
