--- a/bench/traces.py
+++ b/bench/traces.py
@@ -22,13 +22,10 @@
     TableEvent,
     to_line,
 )
-from chicorychute.replay.traffic import Fault, RankLoad, ServiceTime, Tail
+from chicorychute.replay.traffic import Fault, RankLoad
+from chicorychute.replay.users import PENTAGRAMA, SMRITI, User
 
 FOLDER = Path(__file__).parent.parent / "traces"
-HEADER = (
-    "service,rank,routes,priority,share,target_ms,deadline_ms,repeat,retry_share,"
-    "slots,floor,sensitivity,team_rate,cross_region_kbps"
-)
 SECONDS = 13.0
 START_S = 7.0
 DETECTION_S = 3.0
@@ -38,59 +35,6 @@
 HANG_MS = 60_000.0
 
 
-@attrs.frozen
-class User:
-    """A user's service: its table and its traffic.
-
-    Attributes
-    ----------
-    ranks : tuple of str
-        Most urgent first; the last one floods.
-    """
-
-    name: str
-    service: str
-    ranks: tuple[str, str, str]
-    loads: tuple[RankLoad, ...]
-    rows: tuple[str, ...]
-
-    def table(self) -> str:
-        """Return the table as CSV."""
-        return "\n".join([HEADER, *self.rows]) + "\n"
-
-
-SMRITI = User(
-    "smriti",
-    "orders",
-    ("order", "catalogue", "ledger"),
-    (
-        RankLoad("order", 0.2, ServiceTime(0.015)),
-        RankLoad("catalogue", 0.6, ServiceTime(0.010)),
-        RankLoad("ledger", 0.2, ServiceTime(0.015, Tail.PARETO, 1.8)),
-    ),
-    (
-        "orders,order,POST /orders,1,0.3,400,2000,once,0.2,4,0.7,1,0,1000",
-        "orders,catalogue,GET /kits/*,2,0.3,400,2000,idempotent,0.2,4,0.7,1,0,1000",
-        "orders,ledger,GET /ledger/*,9,0.1,2000,2000,idempotent,0.2,4,0.7,1,0,1000",
-    ),
-)
-PENTAGRAMA = User(
-    "pentagrama",
-    "scores",
-    ("lookup", "commission", "check"),
-    (
-        RankLoad("lookup", 0.6, ServiceTime(0.010)),
-        RankLoad("commission", 0.2, ServiceTime(0.015)),
-        RankLoad("check", 0.2, ServiceTime(0.04, Tail.PARETO, 1.8)),
-    ),
-    (
-        "scores,lookup,GET /scores/*,1,0.4,400,2000,idempotent,0.2,4,0.5,1.5,0,1000",
-        "scores,commission,POST /commissions,2,0.3,600,4000,once,0.2,4,0.5,1.5,0,1000",
-        "scores,check,GET /checks/*,9,0.1,2000,2000,idempotent,0.2,4,0.5,1.5,0,1000",
-    ),
-)
-
-
 @attrs.frozen
 class Scene:
     """One trace: a user, a fault and a flood of the least urgent rank."""
--- a/chicorychute/bench/cost.py
+++ b/chicorychute/bench/cost.py
@@ -17,6 +17,7 @@
 from chicorychute.core.system_clock import SystemClock
 from chicorychute.health.evidence import Observation, Result
 from chicorychute.health.judge import UpstreamJudge
+from chicorychute.replay.users import HEADER
 from chicorychute.routing.candidates import Candidate, Distance, eligible
 from chicorychute.routing.choice import choose
 from chicorychute.table.parse import parse_table
@@ -25,23 +26,19 @@
 ITEMS = 500
 UPSTREAMS = 12
 RANKS = ("first", "second", "third")
-TABLE_HEADER = (
-    "service,rank,routes,priority,share,target_ms,deadline_ms,repeat,retry_share,"
-    "slots,floor,sensitivity,team_rate,cross_region_kbps"
-)
 
 
 def measure_rates() -> list[Figure]:
     """Return decisions a second of the judge and of the choice of a gate."""
     judge = UpstreamJudge(SystemClock())
-    judge.take_peers([_digest(index) for index in range(UPSTREAMS)])
+    judge.take_peers([make_digest(index) for index in range(UPSTREAMS)])
     rng = random.Random(1)
     observations = [
         Observation(rng.choice(RANKS), Result.OK, rng.lognormvariate(-4, 1), 100)
         for _ in range(1000)
     ]
     candidates = [
-        Candidate(str(index), _digest(index), Distance.ZONE)
+        Candidate(str(index), make_digest(index), Distance.ZONE)
         for index in range(UPSTREAMS)
     ]
 
@@ -62,7 +59,7 @@
     """Return bytes for each judge, instance record and row of the table."""
     return [
         _bytes("judge of 3 ranks", _judge),
-        _bytes("record of an instance with 1 upstream", _record),
+        _bytes("record of an instance with 1 upstream", make_record),
         _bytes("row of the table", _rows, ITEMS),
     ]
 
@@ -72,7 +69,7 @@
     for index in range(DECISIONS):
         decide(index)
     rate = DECISIONS / (time.perf_counter() - start_s)
-    return Figure(f"rate | {name}", rate, "per second", Better.HIGHER, NOISY)
+    return Figure(f"rates | {name}", rate, "per second", Better.HIGHER, NOISY)
 
 
 def _bytes(name: str, make: Callable[[int], object], items: int = 1) -> Figure:
@@ -94,7 +91,8 @@
     return judge
 
 
-def _digest(index: int) -> UpstreamDigest:
+def make_digest(index: int) -> UpstreamDigest:
+    """Return the digest of a healthy upstream of three ranks."""
     ranks = tuple(
         RankDigest(rank, 100 + index, 15.0 + index, 50.0 + index, 0.01, 0.0, 0.0)
         for rank in RANKS
@@ -106,7 +104,8 @@
     )
 
 
-def _record(index: int) -> MemberRecord:
+def make_record(index: int) -> MemberRecord:
+    """Return the record of an instance with one upstream."""
     return MemberRecord(
         f"instance-{index}",
         1_700_000_000_000 + index,
@@ -117,11 +116,16 @@
         "zone",
         "region",
         1,
-        (_digest(index),),
+        (make_digest(index),),
     )
 
 
-def _rows(index: int) -> object:
+def make_rows(count: int) -> str:
+    """Return a table of a number of rows."""
     cells = "1,0.3,300,4000,idempotent,0.1,4,0.5,1,0,1000"
-    rows = [f"s{number},read,GET /s{number}/*,{cells}" for number in range(ITEMS)]
-    return parse_table(1, "\n".join([TABLE_HEADER, *rows])).ok_value
+    rows = [f"s{number},read,GET /s{number}/*,{cells}" for number in range(count)]
+    return "\n".join([HEADER, *rows])
+
+
+def _rows(index: int) -> object:
+    return parse_table(1, make_rows(ITEMS)).ok_value
--- a/chicorychute/bench/figures.py
+++ b/chicorychute/bench/figures.py
@@ -3,10 +3,11 @@
 import enum
 import json
 import math
+from collections.abc import Iterable
 
 import attrs
 
-FORMAT_VERSION = 1
+FORMAT_VERSION = 2
 EXACT = 1.0001  # ratio allowed for figures on a virtual clock
 NOISY = 2.0  # ratio allowed for timings on a shared machine
 
@@ -27,7 +28,11 @@
     value : float
         Infinite where the thing measured never came about.
     allowed : float
-        Ratio to an earlier value up to which it counts as no worse.
+        Ratio to an earlier value up to which it counts as no worse; infinite for a
+        figure that is only shown.
+    baseline : str
+        Name of the plain or earlier decision that was measured, empty for the one
+        in force. Only figures of the one in force can be worse.
     """
 
     name: str
@@ -35,9 +40,17 @@
     unit: str
     better: Better = Better.LOWER
     allowed: float = EXACT
+    baseline: str = ""
+
+    @property
+    def key(self) -> str:
+        """Name that no other figure of a run has."""
+        return f"{self.name} | {self.baseline}" if self.baseline else self.name
 
     def worse_than(self, earlier: float) -> bool:
         """Return whether the figure is worse than an earlier value."""
+        if self.baseline or math.isinf(self.allowed):
+            return False
         if self.better is Better.LOWER:
             return self.value > earlier * self.allowed
         return self.value < earlier / self.allowed
@@ -47,17 +60,35 @@
     """A file of figures can't be read."""
 
 
-def to_json(figures: list[Figure]) -> str:
+@attrs.frozen
+class Results:
+    """Figures of one run as a file keeps them.
+
+    Attributes
+    ----------
+    version : str
+        Release that was measured.
+    seeds : int
+        Runs behind each figure; results of other seeds can't be compared.
+    """
+
+    version: str
+    seeds: int
+    value_by_key: dict[str, float]
+
+
+def to_json(figures: list[Figure], version: str, seeds: int) -> str:
     """Return the figures as JSON; null stands for what never came about."""
     values = {
-        figure.name: figure.value if math.isfinite(figure.value) else None
+        figure.key: figure.value if math.isfinite(figure.value) else None
         for figure in figures
     }
-    return json.dumps({"v": FORMAT_VERSION, "figures": values}, indent=1) + "\n"
+    document = {"v": FORMAT_VERSION, "version": version, "seeds": seeds}
+    return json.dumps(document | {"figures": values}, indent=1) + "\n"
 
 
-def read_json(text: str) -> dict[str, float]:
-    """Return earlier values by name.
+def read_json(text: str) -> Results:
+    """Return the results of an earlier run.
 
     Raises
     ------
@@ -69,35 +100,55 @@
         if document["v"] != FORMAT_VERSION:
             problem = f"version {document['v']} can't be compared"
             raise FiguresError(f"{problem}: write it again with bench --json")
-        return {
-            name: math.inf if value is None else float(value)
-            for name, value in document["figures"].items()
+        value_by_key = {
+            key: math.inf if value is None else float(value)
+            for key, value in document["figures"].items()
         }
+        return Results(document["version"], int(document["seeds"]), value_by_key)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         problem = f"not a result of the bench ({error.__class__.__name__})"
         raise FiguresError(f"{problem}: name a file that bench --json wrote") from error
 
 
-def table(figures: list[Figure], earlier: dict[str, float] | None) -> str:
-    """Return the figures as lines of a table, beside earlier ones."""
-    width = max(len(figure.name) for figure in figures)
-    return "\n".join(_line(figure, width, earlier) for figure in figures)
+def table(figures: list[Figure], earlier: Results | None) -> str:
+    """Return a line for each measure: its figure, baselines, the earlier one."""
+    by_name: dict[str, list[Figure]] = {}
+    for figure in figures:
+        by_name.setdefault(figure.name, []).append(figure)
+    width = max(map(len, by_name))
+    return "\n".join(
+        _line(name.ljust(width), group, earlier) for name, group in by_name.items()
+    )
 
 
-def worse(figures: list[Figure], earlier: dict[str, float]) -> list[Figure]:
+def worse(figures: list[Figure], earlier: Results) -> list[Figure]:
     """Return the figures that are worse than an earlier run's."""
-    return [f for f in figures if f.name in earlier and f.worse_than(earlier[f.name])]
-
-
-def _line(figure: Figure, width: int, earlier: dict[str, float] | None) -> str:
-    line = f"{figure.name:{width}}  {_number(figure.value):>10} {figure.unit:12}"
-    if earlier is None:
-        return line.rstrip()
-    if figure.name not in earlier:
-        return f"{line} new"
-    before = earlier[figure.name]
-    note = "  WORSE" if figure.worse_than(before) else ""
-    return f"{line} before {_number(before):>10}{note}"
+    before = earlier.value_by_key
+    return [f for f in figures if f.key in before and f.worse_than(before[f.key])]
+
+
+def gone(figures: list[Figure], earlier: Results, parts: Iterable[str]) -> list[str]:
+    """Return the earlier figures of the measured parts that are no longer there."""
+    keys = {figure.key for figure in figures}
+    measured = tuple(f"{part} |" for part in parts)
+    return [k for k in earlier.value_by_key if k.startswith(measured) and k not in keys]
+
+
+def _line(name: str, group: list[Figure], earlier: Results | None) -> str:
+    cells = [_cell(figure, earlier) for figure in group]
+    return f"{name}  {'; '.join(cells)}"
+
+
+def _cell(figure: Figure, earlier: Results | None) -> str:
+    label = f"{figure.baseline} " if figure.baseline else ""
+    cell = f"{label}{_number(figure.value)} {figure.unit}".rstrip()
+    if earlier is None or figure.baseline:
+        return cell
+    before = earlier.value_by_key.get(figure.key)
+    if before is None:
+        return f"{cell} (new)"
+    note = " WORSE" if figure.worse_than(before) else ""
+    return f"{cell} ({earlier.version} {_number(before)}{note})"
 
 
 def _number(value: float) -> str:
--- a/chicorychute/bench/ranks.py
+++ b/chicorychute/bench/ranks.py
@@ -1,14 +1,13 @@
 """Measures the service of each rank under floods, for several orders of service.
 
 Every order sees the same recorded arrivals, on a clock of its own. Run
-``python -m bench.ranks`` for the table of figures.
+``chicorychute bench --only ranks`` for the table of figures.
 """
 
+import enum
 import heapq
 import itertools
 import random
-import sys
-from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -19,11 +18,14 @@
     Queued,
     Refused,
     Ticket,
-    UpstreamQueue,
 )
-from chicorychute.admission.ranks import RankOrder, RankPolicy, RankState
+from chicorychute.admission.ranks import RankPolicy
+from chicorychute.bench.figures import Better, Figure
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.outcomes import Reason
+from chicorychute.replay import orders
+from chicorychute.replay.orders import ServiceOrder
+from chicorychute.replay.users import USERS, User
 
 UPSTREAMS = 6
 SLOTS = 4
@@ -36,11 +38,12 @@
 MAX_ATTEMPTS = 3
 TICK_S = 0.05
 SEED = 4
+SHARE_RATIO = 1.02  # to an earlier share up to which one counts as no worse
 
 
 @attrs.frozen
-class RankLoad:
-    """One rank of the measured table and its plain load.
+class Demand:
+    """One rank of a measured table and its plain load.
 
     Attributes
     ----------
@@ -56,35 +59,52 @@
     load: float
 
 
+Demands = tuple[Demand, ...]
+PLAIN_LOADS = (0.30, 0.25, 0.20)  # of the capacity, the most urgent first
 LOADS = (
-    RankLoad("lookup", 1, 0.3, 0.3, 1.0, 0.30),
-    RankLoad("order", 2, 0.3, 0.5, 4.0, 0.25),
-    RankLoad("check", 9, 0.1, 2.0, 5.0, 0.20),
+    Demand("lookup", 1, 0.3, 0.3, 1.0, PLAIN_LOADS[0]),
+    Demand("order", 2, 0.3, 0.5, 4.0, PLAIN_LOADS[1]),
+    Demand("check", 9, 0.1, 2.0, 5.0, PLAIN_LOADS[2]),
 )
 LOAD_BY_RANK = {load.rank: load for load in LOADS}
 
 
+def demands_of(user: User) -> Demands:
+    """Return the ranks of a user's table with their plain loads."""
+    return tuple(
+        Demand(
+            row.rank,
+            row.priority,
+            row.share,
+            row.target_ms / 1000,
+            row.deadline_ms / 1000,
+            load,
+        )
+        for row, load in zip(user.cells(), PLAIN_LOADS, strict=True)
+    )
+
+
 @attrs.frozen
 class Scenario:
     """Flood of one rank, with some upstreams gray.
 
     Attributes
     ----------
-    factor_by_rank : dict
-        Multiplies the plain load of a rank while the flood lasts.
+    factors : tuple of float
+        Multiply the plain loads while the flood lasts, the most urgent first.
     """
 
     name: str
-    factor_by_rank: dict[str, float]
+    factors: tuple[float, float, float]
     gray: int = 0
 
 
 SCENARIOS = (
-    Scenario("plain load", {}),
-    Scenario("flood of the least urgent", {"check": 10.0}),
-    Scenario("flood of the most urgent", {"lookup": 10.0}),
-    Scenario("flood, a third gray", {"check": 10.0}, gray=UPSTREAMS // 3),
-    Scenario("urgent load at 0.9", {"lookup": 3.0, "check": 10.0}),
+    Scenario("plain load", (1.0, 1.0, 1.0)),
+    Scenario("flood of the least urgent", (1.0, 1.0, 10.0)),
+    Scenario("flood of the most urgent", (10.0, 1.0, 1.0)),
+    Scenario("flood, a third gray", (1.0, 1.0, 10.0), gray=UPSTREAMS // 3),
+    Scenario("urgent load at 0.9", (3.0, 1.0, 10.0)),
 )
 
 
@@ -98,13 +118,15 @@
     draws: tuple[float, ...]
 
 
-def record(scenario: Scenario, seed: int = SEED) -> list[Arrival]:
+def record(
+    scenario: Scenario, seed: int = SEED, demands: Demands = LOADS
+) -> list[Arrival]:
     """Return the arrivals of a scenario in order of time."""
     rng = random.Random(seed)
     arrivals = []
-    for load in LOADS:
+    for load, factor in zip(demands, scenario.factors, strict=True):
         plain = load.load * UPSTREAMS * SLOTS / SERVICE_S
-        flood = plain * scenario.factor_by_rank.get(load.rank, 1.0)
+        flood = plain * factor
         at_s = 0.0
         while True:
             flooded = FLOOD_START_S <= at_s < FLOOD_END_S
@@ -117,59 +139,32 @@
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
-class SharesOnly(RankOrder):
-    """Weighted shares: serves the rank with the most credit, always."""
-
-    def choose(self, ranks: list[str]) -> str:
-        """Return the rank whose credit pays for the most requests."""
-        states = [self.by_rank[rank] for rank in ranks]
-        return max(states, key=_credit_requests).policy.rank
-
-    def refresh(self, now_s: float, slots: int) -> None:
-        """Read the demand, and keep every guarantee in force."""
-        super().refresh(now_s, slots)
-        for state in self.by_rank.values():
-            state.flooded = True
-            state.part_in_force = 1.0
+class Choice(enum.Enum):
+    """How an entry chooses among two gates."""
 
-
-def _credit_requests(state: RankState) -> float:
-    return state.credit_s / state.cost_s
+    RANK_WAIT = "wait of the rank"
+    OUTSTANDING = "all that is outstanding"
+    BY_TURN = "by turn"
 
 
 @attrs.frozen
-class Order:
-    """An order of service to measure.
-
-    Attributes
-    ----------
-    rank_of : callable
-        Rank under which the queue sees a rank of the table.
-    routes_by_rank : bool
-        Whether entries compare the wait of the rank, or all that is outstanding.
-    """
+class Way:
+    """An order of service with the choice of a gate that goes with it."""
 
     name: str
-    make: Callable[[], RankOrder]
-    policies: tuple[RankPolicy, ...]
-    rank_of: Callable[[str], str] = str
-    routes_by_rank: bool = True
-
-
-def _policies(shares: tuple[float, ...]) -> tuple[RankPolicy, ...]:
-    return tuple(
-        RankPolicy(load.rank, load.priority, share)
-        for load, share in zip(LOADS, shares, strict=True)
-    )
-
-
-MIXTURE = Order("mixture", RankOrder, _policies((0.3, 0.3, 0.1)))
-ORDERS = (
-    Order("first come", RankOrder, (RankPolicy("all", 1, 0.0),), lambda _: "all"),
-    Order("strict", RankOrder, _policies((0.0, 0.0, 0.0))),
-    Order("shares only", SharesOnly, _policies((0.6, 0.3, 0.1))),
-    MIXTURE,
-    attrs.evolve(MIXTURE, name="mixture, all", routes_by_rank=False),
+    order: ServiceOrder
+    choice: Choice = Choice.RANK_WAIT
+
+
+MIXTURE = Way("", orders.MIXTURE)
+BASELINES = (
+    Way("first come", orders.FIRST_COME),
+    Way("strict", orders.STRICT),
+    Way("shares only", orders.SHARES_ONLY),
+    Way("ranks in turn", orders.ROUND_ROBIN),
+    Way("gates in turn", orders.MIXTURE, Choice.BY_TURN),
+    Way("by all outstanding", orders.MIXTURE, Choice.OUTSTANDING),
+    Way("no early refusal", orders.LATE_REFUSAL),
 )
 
 
@@ -221,18 +216,26 @@
 class Run:
     """Plays recorded arrivals against the queues of all upstreams."""
 
-    def __init__(self, order: Order, scenario: Scenario, arrivals: list[Arrival]):
-        self._order = order
+    def __init__(
+        self, way: Way, scenario: Scenario, arrivals: list[Arrival], demands: Demands
+    ):
+        self._way = way
+        self._order = order = way.order
         self._scenario = scenario
         self._clock = ManualClock()
+        self._demand_by_rank = {demand.rank: demand for demand in demands}
+        self._turns = itertools.count()
+        policies = order.adapt(
+            tuple(RankPolicy(d.rank, d.priority, d.share) for d in demands)
+        )
         self._queues = [
-            UpstreamQueue(SLOTS, order.policies, self._clock, order.make())
+            order.make_queue(SLOTS, policies, self._clock, order.make())
             for _ in range(UPSTREAMS)
         ]
         self._call_by_ticket: dict[Ticket, _Call] = {}
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self.by_rank = {load.rank: RankResult() for load in LOADS}
+        self.by_rank = {demand.rank: RankResult() for demand in demands}
         for arrival in arrivals:
             self._at(arrival.at_s, lambda a=arrival: self._arrive(a))
         for tick in range(int(FLOOD_END_S / TICK_S)):
@@ -264,7 +267,7 @@
         arrival = call.arrival
         call.upstream = self._choose(call)
         call.attempt += 1
-        deadline_s = arrival.at_s + LOAD_BY_RANK[arrival.rank].deadline_s
+        deadline_s = arrival.at_s + self._demand_by_rank[arrival.rank].deadline_s
         ticket = Ticket(self._order.rank_of(arrival.rank), deadline_s)
         self._call_by_ticket[ticket] = call
         self._deliver([self._queues[call.upstream].submit(ticket)])
@@ -274,6 +277,8 @@
         gray = self._scenario.gray
         ejected = self._clock.monotonic() >= GRAY_EJECTED_S
         first = gray if ejected else 0
+        if self._way.choice is Choice.BY_TURN:
+            return first + next(self._turns) % (UPSTREAMS - first)
         pair = call.arrival.draws[2 * call.attempt : 2 * call.attempt + 2]
         picked = [first + int(draw * (UPSTREAMS - first)) for draw in pair]
         return min(picked, key=lambda upstream: self._load_of(upstream, rank))
@@ -281,7 +286,7 @@
     def _load_of(self, upstream: int, rank: str) -> tuple[float, int]:
         queue = self._queues[upstream]
         outstanding = queue.in_flight + queue.queued
-        if not self._order.routes_by_rank:
+        if self._way.choice is Choice.OUTSTANDING:
             return (0.0, outstanding)
         return (queue.wait_s(rank), outstanding)
 
@@ -317,7 +322,7 @@
         self._deliver(self._queues[call.upstream].release(ticket))
 
     def _count(self, call: _Call, now_s: float) -> None:
-        load = LOAD_BY_RANK[call.arrival.rank]
+        load = self._demand_by_rank[call.arrival.rank]
         result = self.by_rank[load.rank]
         took_s = now_s - call.arrival.at_s
         if _measured(call.arrival.at_s):
@@ -334,35 +339,39 @@
     return FLOOD_START_S + SETTLE_S <= at_s < FLOOD_END_S
 
 
-def measure(order: Order, scenario: Scenario, seed: int = SEED) -> Measurement:
+def measure(
+    way: Way, scenario: Scenario, seed: int = SEED, demands: Demands = LOADS
+) -> Measurement:
     """Play one scenario with one order of service."""
-    return Run(order, scenario, record(scenario, seed)).run()
-
-
-def _print_row(order: Order, rank: str, measurement: Measurement) -> None:
-    result = measurement.by_rank[rank]
-    print(
-        f"{order.name:<12} {rank:<7} {result.offered:>7} {result.target_share:>7.1%}"
-        f" {measurement.kept(rank):>7.3f} {result.refused_early:>7}"
-        f" {result.expired:>7} {result.late:>5} {measurement.goodput:>8.3f}"
+    return Run(way, scenario, record(scenario, seed, demands), demands).run()
+
+
+def measure_ranks() -> list[Figure]:
+    """Return what each rank of each user gets in each flood, beside baselines."""
+    figures = []
+    for user in USERS:
+        demands = demands_of(user)
+        for scenario in SCENARIOS:
+            prefix = f"ranks | {user.name} | {scenario.name}"
+            for way in (MIXTURE, *BASELINES):
+                found = measure(way, scenario, demands=demands)
+                figures += _figures(prefix, way, found)
+    return figures
+
+
+def _figures(prefix: str, way: Way, found: Measurement) -> list[Figure]:
+    figures = []
+    for rank, result in found.by_rank.items():
+        for what, value in (
+            ("in target", result.target_share),
+            ("keeps", found.kept(rank)),
+        ):
+            name = f"{prefix} | {rank} {what}"
+            figures.append(
+                Figure(name, value, "", Better.HIGHER, SHARE_RATIO, baseline=way.name)
+            )
+    name = f"{prefix} | goodput"
+    figures.append(
+        Figure(name, found.goodput, "", Better.HIGHER, SHARE_RATIO, baseline=way.name)
     )
-
-
-def main() -> int:
-    """Print the figures of every order in every scenario."""
-    for scenario in SCENARIOS:
-        offered = Counter(arrival.rank for arrival in record(scenario))
-        print(f"\n{scenario.name}: {dict(offered)} arrivals, seed {SEED}")
-        print(
-            f"{'order':<12} {'rank':<7} {'offered':>7} {'target':>7} {'kept':>7}"
-            f" {'refused':>7} {'expired':>7} {'late':>5} {'goodput':>8}"
-        )
-        for order in ORDERS:
-            measurement = measure(order, scenario)
-            for load in LOADS:
-                _print_row(order, load.rank, measurement)
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+    return figures
--- a/chicorychute/bench/traces.py
+++ b/chicorychute/bench/traces.py
@@ -1,13 +1,25 @@
-"""Replay of a folder of traces as figures."""
+"""Replay of a folder of traces as figures, beside plain decisions."""
 
 from pathlib import Path
 
 from chicorychute.bench.figures import Better, Figure
+from chicorychute.replay import orders
+from chicorychute.replay.baselines import FixedThresholdJudge, MovingAverageJudge
+from chicorychute.replay.measures import Measures
 from chicorychute.replay.outcomes import broken_outcomes, read_outcomes
-from chicorychute.replay.player import Player
-from chicorychute.replay.trace import read_trace
+from chicorychute.replay.player import Decisions, Player
+from chicorychute.replay.trace import TracedEvent, read_trace
 
 OUTCOMES_SUFFIX = ".outcomes.json"
+DECISIONS_BY_BASELINE = {
+    "": Decisions(),
+    "first come": Decisions(orders.FIRST_COME),
+    "strict": Decisions(orders.STRICT),
+    "ranks in turn": Decisions(orders.ROUND_ROBIN),
+    "no early refusal": Decisions(orders.LATE_REFUSAL),
+    "moving average": Decisions(make_judge=MovingAverageJudge),
+    "fixed threshold": Decisions(make_judge=FixedThresholdJudge),
+}
 
 
 def measure_traces(folder: Path) -> list[Figure]:
@@ -16,21 +28,39 @@
     for path in sorted(folder.glob("*.jsonl")):
         with path.open(encoding="utf-8") as lines:
             events = list(read_trace(lines))
-        measures = Player(events).play()
-        found = measures.as_json()
-        prefix = f"trace | {path.stem}"
-        for upstream, after_s in found["detection_s"].items():
-            value = float("inf") if after_s is None else after_s
-            figures.append(Figure(f"{prefix} | detection {upstream}", value, "s"))
-        count = found["false_ejections"]
-        figures.append(Figure(f"{prefix} | false ejections", count, ""))
-        for kind in ("service_level", "flood_level"):
-            for rank, share in found[kind].items():
-                name = f"{prefix} | {kind.replace('_', ' ')} {rank}"
-                figures.append(Figure(name, share, "", Better.HIGHER))
-        outcomes = path.with_name(path.stem + OUTCOMES_SUFFIX)
-        if outcomes.is_file():
-            expected = read_outcomes(outcomes.read_text("utf-8"))
-            broken = len(broken_outcomes(expected, measures, events))
-            figures.append(Figure(f"{prefix} | outcomes broken", broken, ""))
+        for baseline, decisions in DECISIONS_BY_BASELINE.items():
+            measures = Player(events, decisions).play()
+            figures += _figures(path.stem, measures, baseline)
+            figures += _broken(path, measures, events, baseline)
     return figures
+
+
+def _figures(stem: str, measures: Measures, baseline: str) -> list[Figure]:
+    prefix = f"traces | {stem}"
+    found = measures.as_json()
+    figures = []
+    for upstream, after_s in found["detection_s"].items():
+        value = float("inf") if after_s is None else after_s
+        name = f"{prefix} | detection {upstream}"
+        figures.append(Figure(name, value, "s", baseline=baseline))
+    count = found["false_ejections"]
+    name = f"{prefix} | false ejections"
+    figures.append(Figure(name, count, "", baseline=baseline))
+    for kind in ("service_level", "flood_level"):
+        for rank, share in sorted(found[kind].items()):
+            name = f"{prefix} | {kind.replace('_', ' ')} {rank}"
+            figure = Figure(name, share, "", Better.HIGHER, baseline=baseline)
+            figures.append(figure)
+    return figures
+
+
+def _broken(
+    path: Path, measures: Measures, events: list[TracedEvent], baseline: str
+) -> list[Figure]:
+    outcomes = path.with_name(path.stem + OUTCOMES_SUFFIX)
+    if not outcomes.is_file():
+        return []
+    expected = read_outcomes(outcomes.read_text("utf-8"))
+    count = len(broken_outcomes(expected, measures, events))
+    name = f"traces | {path.stem} | outcomes broken"
+    return [Figure(name, count, "", baseline=baseline)]
--- a/tests/admission/test_ranks.py
+++ b/tests/admission/test_ranks.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench import ranks
+from chicorychute.bench import ranks
 
 SCENARIO_BY_NAME = {scenario.name: scenario for scenario in ranks.SCENARIOS}
 FLOODS_OF_OTHERS = (
--- a/tests/bench/test_bench.py
+++ b/tests/bench/test_bench.py
@@ -1,14 +1,25 @@
 """The bench compares its figures and says which are worse."""
 
 import json
+import shutil
 from pathlib import Path
 
 import pytest
 
-from chicorychute.bench.figures import Better, Figure, FiguresError, read_json, to_json
+from chicorychute.bench import added
+from chicorychute.bench.figures import (
+    Better,
+    Figure,
+    FiguresError,
+    Results,
+    read_json,
+    table,
+    to_json,
+)
 from chicorychute.core.management import main
 
-TRACES = str(Path(__file__).parent.parent.parent / "traces")
+TRACES = Path(__file__).parent.parent.parent / "traces"
+TRACE = "smriti-ten-times-slow"
 
 
 @pytest.mark.parametrize(
@@ -28,31 +39,97 @@
     assert figure.worse_than(earlier) is is_worse
 
 
+def test_baselines_and_shown_figures_are_never_worse():
+    assert not Figure("a", 2.0, "s", baseline="fixed").worse_than(1.0)
+    assert not Figure("a", 2.0, "us", allowed=float("inf")).worse_than(1.0)
+
+
 def test_figures_survive_json():
-    figures = [Figure("a", 1.5, "s"), Figure("b", float("inf"), "s")]
-    assert read_json(to_json(figures)) == {"a": 1.5, "b": float("inf")}
+    figures = [Figure("a", 1.5, "s"), Figure("a", float("inf"), "s", baseline="b")]
+    results = read_json(to_json(figures, "0.1.0", 3))
+    assert results == Results("0.1.0", 3, {"a": 1.5, "a | b": float("inf")})
+
+
+def test_baselines_stand_on_the_line_of_their_measure():
+    figures = [Figure("a", 1.5, "s"), Figure("a", 9.0, "s", baseline="fixed")]
+    assert table(figures, None) == "a  1.5 s; fixed 9 s"
 
 
 @pytest.mark.parametrize(
-    "text", ["", "[]", "{}", '{"v": 1}', '{"v": 0, "figures": {}}']
+    "text", ["", "[]", "{}", '{"v": 2}', '{"v": 1, "figures": {}}']
 )
 def test_other_files_are_refused(text):
     with pytest.raises(FiguresError):
         read_json(text)
 
 
-def test_command_fails_where_a_trace_got_worse(tmp_path, capsys):
+@pytest.fixture
+def kept(tmp_path):
+    """Result of the traces, and the command that measures them again."""
     result = tmp_path / "figures.json"
-    arguments = ["bench", "--only", "traces", "--traces", TRACES]
+    for path in TRACES.glob(f"{TRACE}*"):
+        shutil.copy(path, tmp_path)
+    arguments = ["bench", "--only", "traces", "--traces", str(tmp_path)]
     assert main([*arguments, "--json", str(result)]) == 0
-    assert main([*arguments, "--against", str(result)]) == 0
+    return result, [*arguments, "--against", str(result)]
+
+
+def changed(result, part, change):
     document = json.loads(result.read_text())
-    name = next(n for n in document["figures"] if "detection" in n)
-    document["figures"][name] /= 2
+    name = next(n for n in document["figures"] if part in n)
+    document["figures"][name] = change(document["figures"][name])
     result.write_text(json.dumps(document))
+
+
+@pytest.mark.parametrize(
+    "part, change, code",
+    [
+        ("detection", lambda value: value, 0),
+        ("detection", lambda value: value * 2, 0),
+        ("detection", lambda value: value / 2, 1),
+        ("service level", lambda value: value / 2, 0),
+        ("service level", lambda value: value * 2, 1),
+        ("false ejections | first come", lambda value: value - 1, 0),
+    ],
+)
+def test_command_fails_where_a_measure_got_worse(kept, capsys, part, change, code):
+    result, arguments = kept
+    changed(result, part, change)
     capsys.readouterr()
-    assert main([*arguments, "--against", str(result)]) == 1
-    assert "WORSE" in capsys.readouterr().out
+    assert main(arguments) == code
+    assert ("WORSE" in capsys.readouterr().out) is bool(code)
+
+
+def test_command_fails_where_a_measure_is_gone(kept, capsys):
+    result, arguments = kept
+    document = json.loads(result.read_text())
+    document["figures"] |= {"traces | lost": 1.0, "ranks | not measured": 1.0}
+    result.write_text(json.dumps(document))
+    assert main(arguments) == 1
+    out = capsys.readouterr().out
+    assert "GONE   traces | lost" in out
+    assert "not measured" not in out
+
+
+def test_command_refuses_results_of_other_seeds(kept, capsys):
+    _, arguments = kept
+    assert main([*arguments, "--seeds", "2"]) == 2
+    assert "--seeds 3" in capsys.readouterr().err
+
+
+def test_added_time_without_a_checkout_names_the_remedy(monkeypatch, capsys):
+    monkeypatch.setattr(added, "PROGRAM", "bench_that_is_not_there.added")
+    assert main(["bench", "--only", "added"]) == 2
+    assert "in the folder of a checkout" in capsys.readouterr().err
+
+
+def test_added_time_is_read_as_ratios_to_a_direct_call():
+    way = {"p50_ms": 2.0, "p99_ms": 4.0, "added_p50_ms": 0.0, "added_p99_ms": 0.0}
+    hop = {"p50_ms": 3.0, "p99_ms": 6.0, "added_p50_ms": 1.0, "added_p99_ms": 2.0}
+    text = json.dumps({"direct": way, "one hop": hop, "/near": {"calls_per_s": 1}})
+    found = {figure.name: figure.value for figure in added.read_added(text)}
+    assert found["added | one hop | p99"] == 2.0
+    assert found["added | one hop | p99 to a direct call"] == 0.5
 
 
 def test_command_refuses_a_damaged_file(tmp_path):
