Keep the candidates of a service until the view changes

Cause: each request looked up every instance of its service again, and each attempt once more; the hash of an enumeration, which is Python, was worked out for each look into a set. Change: the fleet's service keeps the candidates and drops them whenever it changes the view, under the same lock. Small sets of states are tuples.

--- a/chicorychute/routing/candidates.py
+++ b/chicorychute/routing/candidates.py
@@ -11,8 +11,9 @@
     Verdict,
 )
 
-PRESENT = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
-IN_ROTATION = frozenset((Verdict.HEALTHY, Verdict.COLD))
+# Tuples, as the hash of an enumeration is worked out anew for each look into a set.
+PRESENT = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+IN_ROTATION = (Verdict.HEALTHY, Verdict.COLD)
 PROBE_SHARE = 0.1  # of its share of the work, for an upstream that is probed
 
 
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -16,7 +16,7 @@
     Distance.REGION: 2.0,
     Distance.BEYOND: 60.0,
 }
-EJECTED = frozenset((Verdict.SICK, Verdict.PROBING))
+EJECTED = (Verdict.SICK, Verdict.PROBING)
 SICK_PENALTY = 8.0
 SAMPLES = 2
 REGION_SHARE = 0.5  # of the time left; predictions rest on loads told some time ago
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -5,7 +5,7 @@
 import random
 import threading
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -97,7 +97,7 @@
                 return reply
         return reply
 
-    def _try_gates(self, request: Request, known: list[Candidate]) -> Reply:
+    def _try_gates(self, request: Request, known: Iterable[Candidate]) -> Reply:
         row = request.row
         budget = self._budget(row)
         attempts = Attempts(row.repeat, budget, request.deadline_s, request.attempt)
@@ -163,7 +163,7 @@
             return attempts.may_start(now_s, choice.predicted_ms / 1000)
 
     def _choose(
-        self, request: Request, known: list[Candidate], tried: frozenset[str]
+        self, request: Request, known: Iterable[Candidate], tried: frozenset[str]
     ) -> Choice | NoChoice:
         row = request.row
         # An order is no request to try a doubtful upstream with.
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -1,8 +1,9 @@
 """Keeps the view of the fleet by gossip and the platform's list."""
 
+import contextlib
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import structlog
 from result import Err, Ok
@@ -59,6 +60,8 @@
         self._reader = True
         self._rounds = 0
         self._lock = threading.Lock()
+        # Written under the lock only, so that no entry outlives its view.
+        self._candidates_by_service: dict[str, tuple[Candidate, ...]] = {}
 
     def own(self) -> MemberRecord:
         """Return the own record."""
@@ -77,21 +80,35 @@
                 for record in self._view.records()
             ]
 
-    def candidates(self, service: str) -> list[Candidate]:
-        """Return the upstreams of a service on live and suspected instances."""
-        own = self.own()
-        with self._lock:
-            statuses = [
-                (record, self._view.status_of(record.instance))
-                for record in self._view.hosts(service)
-            ]
-        return [
+    def candidates(self, service: str) -> tuple[Candidate, ...]:
+        """Return the upstreams of a service on live and suspected instances.
+
+        They are kept until the view changes; nothing else bears on them.
+        """
+        known = self._candidates_by_service.get(service)
+        if known is None:
+            with self._lock:
+                known = self._candidates_by_service[service] = self._find(service)
+        return known
+
+    def _find(self, service: str) -> tuple[Candidate, ...]:
+        own = self._view.own
+        return tuple(
             Candidate(record.instance, digest, distance_between(own, record), status)
-            for record, status in statuses
-            if status in PRESENT
+            for record in self._view.hosts(service)
+            if (status := self._view.status_of(record.instance)) in PRESENT
             for digest in record.upstreams
             if digest.service == service
-        ]
+        )
+
+    @contextlib.contextmanager
+    def _changing(self) -> Iterator[None]:
+        """Hold the lock while the view changes, and forget what was drawn from it."""
+        with self._lock:
+            try:
+                yield
+            finally:
+                self._candidates_by_service.clear()
 
     def hosts(self, service: str) -> list[MemberRecord]:
         """Return the live instances beside which a service runs."""
@@ -118,7 +135,7 @@
         table_hash: str = "",
     ) -> None:
         """Replace the own digests."""
-        with self._lock:
+        with self._changing():
             self._view.publish(table_version, digests, table_hash)
 
     def gossip(self) -> None:
@@ -127,7 +144,7 @@
         self._rounds += 1
         if scans:
             self._reader = self._is_reader()
-        with self._lock:
+        with self._changing():
             sends = self._view.gossip_round()
             stranger = self._stranger() if scans else None
             greeting = self._view.message_for("", True) if stranger else None
@@ -137,7 +154,7 @@
 
     def on_gossip(self, link: Link, message: Gossip) -> None:
         """Merge a peer's records and answer if it asked."""
-        with self._lock:
+        with self._changing():
             sends = self._view.on_gossip(message)
         for send in sends:
             if send.instance == message.sender:
@@ -146,13 +163,13 @@
 
     def on_probe_request(self, request: ProbeRequest) -> None:
         """Ask an instance for a peer that got no answer from it."""
-        with self._lock:
+        with self._changing():
             sends = self._view.on_probe_request(request)
         self._send_all(sends)
 
     def leave(self) -> None:
         """Tell every live peer that this instance takes no new work."""
-        with self._lock:
+        with self._changing():
             message = self._view.leave()
         for record, status in self.snapshot():
             if status is not MemberStatus.DEAD and record is not self._view.own:
@@ -187,7 +204,7 @@
         own = self._view.own.instance
         leaving = [item.instance for item in listed if item.leaving]
         staying = [item.instance for item in listed if not item.leaving]
-        with self._lock:
+        with self._changing():
             must_leave = self._view.merge_list(leaving, staying)
             self._listed = frozenset(
                 (item.host, item.peer_port)
@@ -221,5 +238,5 @@
         )
 
     def _unreachable(self, instance: str) -> None:
-        with self._lock:
+        with self._changing():
             self._view.on_unreachable(instance)
