--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -11,12 +11,12 @@
 import socket
 import struct
 
-from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10
 
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
 from chicorychute.pipeline.values import AnswerBroken
+from chicorychute.transport.edge_streams import EdgeWriter
 from chicorychute.transport.intake import Arrived, Intake
 
 MAX_HEADERS = 100
@@ -127,10 +127,16 @@
         """Answer; a caller never takes a broken answer for a whole one."""
         try:
             super().respond()
+            self.conn.wfile.flush()
         except AnswerBroken:
             self.close_connection = True
             self.conn.reset()
 
+    def send_headers(self) -> None:
+        """Write the head, which goes out with the first bytes of the body."""
+        with self.conn.wfile.holding():
+            super().send_headers()
+
     def finish_reading(self) -> None:
         """Note that the whole request has been read and goes on to its handler."""
         self.dispatched = True
@@ -182,7 +188,7 @@
 
 
 def _make_file(sock: socket.socket, mode: str, size: int):
-    return HeadFile() if "r" in mode else MakeFile(sock, mode, size)
+    return HeadFile() if "r" in mode else EdgeWriter(sock)
 
 
 class EdgeConnection(HTTPConnection):
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -16,7 +16,7 @@
 from cheroot import wsgi
 
 SERVER_THREADS = 360
-ARRIVED_KEPT = 1000  # paths of the last requests, in their order
+ARRIVED_KEPT = 10_000  # paths of the last requests, in their order
 
 
 @attrs.define
