Take the ports of servers from below those of outgoing connections

Cause: the fleet of the tests asked the system for free ports and closed them again. The system gives the same range (32768 to 60999) to outgoing connections, so that one of a daemon that started earlier, or of another run, could hold the port before its server listened: "can't listen on 127.0.0.1:39347 (Address already in use)" in tests/processes/test_orders.py, and the fixture then waited 120 s in vain. A daemon that is killed and started again on its port meets the same. Ruled out: a process left over from an earlier test. Change: `free_ports` tries ports of 12000 to 31999 in a random order.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +19,7 @@
 START_TIMEOUT_S = 120.0  # a loaded machine takes long to start processes
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+SERVER_PORTS = range(12_000, 32_000)  # below those of outgoing connections
 ROOT = Path(__file__).resolve().parent.parent
 
 TABLE_HEADER = (
@@ -62,12 +64,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return ports that were free a moment ago, and that no connection takes.
+
+    The system picks the ports of outgoing connections from the range above, so that
+    a port from there may be taken again before its server listens.
+    """
+    ports = []
+    for port in random.sample(SERVER_PORTS, len(SERVER_PORTS)):
+        if _is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise FleetError(f"only {len(ports)} of {count} ports are free: stop some servers")
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 class Fleet:
