Say not-run of a refused send only where no order can have its key

Cause: a refusal of the HTTP server itself (malformed or oversized head, oversized claim, wrong version, repeated headers) said not-run of sends that carried an order's key; an earlier send under it may have run, and its caller would place the order anew. So did any refusal before the home ruled where a malformed key names a home, maybe of another release. Ruled out: reading the key from the parsed headers (the fault may stand before it). Change: the outcome is told from the bytes of the head. A head that was not read whole proves nothing, so it is unknown; a key that names no home is no key of any release, so it stays not-run.

--- a/chicorychute/orders/token.py
+++ b/chicorychute/orders/token.py
@@ -65,3 +65,11 @@
         found["instance"], int(found["incarnation"]), int(found["minted"])
     )
     return Ok(OrderKey(token, found["unique"]))
+
+
+def may_name_order(text: str) -> bool:
+    """Return whether an order may have run under this ``Idempotency-Key``.
+
+    A text that names no home is no key of any release: nothing ran under it.
+    """
+    return parse_key(text) != Err(Reason.KEY_REQUIRED)
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -23,7 +23,7 @@
     StoredAnswer,
     Wait,
 )
-from chicorychute.orders.token import OrderKey, parse_key
+from chicorychute.orders.token import OrderKey, may_name_order, parse_key
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
@@ -110,9 +110,11 @@
                 return reply
             if request.ruled or not self._may_be_order(request):
                 return reply
-            with self._lock:
-                closed = self._ledger.close(parse_key(request.key).ok_value)
-            return reply if closed else attrs.evolve(reply, outcome=Outcome.UNKNOWN)
+            return (
+                reply
+                if self._close(request.key)
+                else attrs.evolve(reply, outcome=Outcome.UNKNOWN)
+            )
 
         return run
 
@@ -137,7 +139,15 @@
     def _may_be_order(self, request: Request) -> bool:
         if request.row is not None and request.row.repeat is RepeatPolicy.IDEMPOTENT:
             return False
-        return parse_key(request.key).is_ok()
+        return may_name_order(request.key)
+
+    def _close(self, text: str) -> bool:
+        """Return whether the key is proved never to have run, and never will."""
+        match parse_key(text):
+            case Ok(key):
+                with self._lock:
+                    return self._ledger.close(key)
+        return False
 
     def _rule(self, key: OrderKey, request: Request, handler: Handler) -> Reply:
         fingerprint = _fingerprint(request)
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -12,7 +12,6 @@
 from chicorychute.core.clock import Clock
 from chicorychute.core.lines import is_word
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
-from chicorychute.orders.token import parse_key
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
@@ -96,10 +95,9 @@
             request = self._read(environ, received_s)
         except (ValueError, TooLarge) as error:
             exchange.give_up_body()
-            refused = _refusal_of(error, exchange.conn.cut)
-            if parse_key(environ.get("HTTP_IDEMPOTENCY_KEY", "")).is_ok():
-                # An earlier send under the same key may have run.
-                refused = attrs.evolve(refused, outcome=Outcome.UNKNOWN)
+            refused = attrs.evolve(
+                _refusal_of(error, exchange.conn.cut), outcome=exchange.refusal_outcome
+            )
             self.on_refusal(refused.reason)
             return self._refuse(refused, environ, start_response)
         exchange.finish_reading()
--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -16,8 +16,9 @@
 from cheroot.wsgi import Gateway_10
 
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
+from chicorychute.orders import token
 from chicorychute.pipeline.values import AnswerBroken
-from chicorychute.transport.intake import Arrived, Intake
+from chicorychute.transport.intake import HEAD_END, Arrived, Intake
 
 MAX_HEADERS = 100
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -49,6 +50,10 @@
 SEPARATOR_BY_HEADER = {b"Cookie": b"; "}
 
 _is_name = re.compile(rb"[!#$%&'*+.^`|~0-9A-Za-z-]+").fullmatch
+# Lenient, so that no key is overlooked that another reader would find.
+_likely_keys = re.compile(
+    rb"idempotency[-_]key[ \t]*:?((?:[^\r\n]|\r\n[ \t])*)", re.IGNORECASE
+).findall
 _is_value = re.compile(rb"[\t\x20-\x7e\x80-\xff]*").fullmatch
 
 
@@ -105,6 +110,18 @@
         raise ValueError("Transfer-Encoding must be chunked")
 
 
+def may_name_order(head: bytes, max_bytes: int) -> bool:
+    """Return whether a refused head may be that of an order sent before.
+
+    False is proved only by a head that is whole, in which nothing that could be
+    read as a key names a home.
+    """
+    if len(head) > max_bytes or not head.endswith(HEAD_END):
+        return True
+    keys = (key.decode("latin-1").strip() for key in _likely_keys(head))
+    return any(token.may_name_order(key) for key in keys)
+
+
 class EdgeRequest(HTTPRequest):
     """Request of a caller; every refusal tells its outcome."""
 
@@ -114,6 +131,14 @@
         super().__init__(*args, **kwargs)
         self.dispatched = False
 
+    @property
+    def refusal_outcome(self) -> Outcome:
+        """What is true of a request that is refused as it was read."""
+        head = self.conn.arrived.head
+        if self.dispatched or may_name_order(head, self.server.max_request_header_size):
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
     def read_request_headers(self) -> bool:
         """Read the headers; refuse a body whose end can't be told."""
         if not super().read_request_headers():
@@ -146,7 +171,7 @@
         if self.conn.cut is not None:
             reason, msg = self.conn.cut, CUT_DETAILS[self.conn.cut]
             status = f"{REASON_SPECS[reason].status} {reason.value}"
-        outcome = Outcome.UNKNOWN if self.dispatched else Outcome.NOT_RUN
+        outcome = self.refusal_outcome
         self.server.on_refusal(reason)
         body = refusal_body(outcome, reason, str(msg))
         head = (
--- a/tests/pipeline/test_once.py
+++ b/tests/pipeline/test_once.py
@@ -219,6 +219,15 @@
     assert told.outcome is Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ("key", "outcome"),
+    [("h@1.2/of/a@later.release", Outcome.UNKNOWN), ("mine", Outcome.NOT_RUN)],
+)
+def test_refusal_of_a_malformed_key_is_not_run_if_it_names_no_home(home, key, outcome):
+    refused = Refused(Outcome.NOT_RUN, Reason.OVERLOAD)
+    assert home.guard(lambda _: refused)(request(key, row=None)).outcome is outcome
+
+
 def test_leaving_home_answers_known_orders_and_takes_no_new_ones(home):
     upstream = Upstream()
     send = home.filter(upstream)
