--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -275,6 +275,7 @@
         telemetry.publish_members(
             lambda: Counter(status.value for _, status in self._fleet.snapshot())
         )
+        telemetry.publish_table_conflicts(lambda: self._tables.conflicts)
         if isinstance(platform, HttpPlatform):
             telemetry.publish_platform_reads(lambda: platform.reads)
 
--- a/chicorychute/telemetry/instruments.py
+++ b/chicorychute/telemetry/instruments.py
@@ -145,6 +145,15 @@
         doc = "Reads of the configuration service and the instance list."
         self.metrics.count_of("chute_platform_reads", doc, (), lambda: [((), reads())])
 
+    def publish_table_conflicts(self, conflicts: Callable[[], int]) -> None:
+        """Publish the number of contents that share a version with another."""
+        self.metrics.count_of(
+            "chute_table_conflicts",
+            "Contents seen under a version that holds another content too.",
+            (),
+            lambda: [((), conflicts())],
+        )
+
     def publish_members(self, counts: Callable[[], dict[str, int]]) -> None:
         """Publish the number of known instances by status."""
         self.metrics.gauge(
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -30,6 +30,7 @@
     instruments.publish_upstreams(list)
     instruments.publish_members(dict)
     instruments.publish_platform_reads(lambda: 0)
+    instruments.publish_table_conflicts(lambda: 0)
     page = (DIRECTORY / "metrics.md").read_text("utf-8")
     source = (ROOT / "chicorychute/telemetry/instruments.py").read_text("utf-8")
     names = set(re.findall(r'"(chute_[a-z_]+)"', source))
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -43,6 +43,7 @@
     instruments = Instruments("i1", clock)
     instruments.publish_upstreams(lambda: [DIGEST])
     instruments.publish_platform_reads(lambda: 7)
+    instruments.publish_table_conflicts(lambda: 2)
     send(instruments.requests, clock, ok(), 0.004)
     send(instruments.requests, clock, ok(), 0.3, attempt=3)
     refused = Refused(Outcome.NOT_RUN, Reason.OVERLOAD)
@@ -57,6 +58,7 @@
         'chute_retries_total{service="orders"} 2',
         'chute_upstream_queued{upstream="u1",service="orders"} 2',
         "chute_platform_reads_total 7",
+        "chute_table_conflicts_total 2",
     ):
         assert line in text.splitlines()
     for line in text.splitlines():
