Show on a terminal that bench and replay are at work

Cause: both are silent for up to minutes. Change: one line of standard error, rewritten each second, on a terminal only.

--- a/chicorychute/core/management/__init__.py
+++ b/chicorychute/core/management/__init__.py
@@ -5,6 +5,7 @@
 import os
 import pkgutil
 import sys
+from collections.abc import Callable
 
 from chicorychute.core.management.base import (
     EXIT_FAILED,
@@ -12,6 +13,7 @@
     BaseCommand,
     CommandError,
 )
+from chicorychute.core.management.progress import progress
 
 COMMANDS_PACKAGE = "chicorychute.core.management.commands"
 
@@ -28,6 +30,16 @@
     return module.Command()
 
 
+def _shown(command: BaseCommand, name: str) -> Callable[[argparse.Namespace], int]:
+    """Return what runs a command; a long one shows that it is at work."""
+
+    def run(options: argparse.Namespace) -> int:
+        with progress(name):
+            return command.handle(options)
+
+    return run if command.takes_long else command.handle
+
+
 def main(arguments: list[str]) -> int:
     """Run one command; returns its exit code."""
     parser = argparse.ArgumentParser(
@@ -46,7 +58,7 @@
             formatter_class=argparse.RawDescriptionHelpFormatter,
         )
         command.add_arguments(subparser)
-        subparser.set_defaults(run=command.handle)
+        subparser.set_defaults(run=_shown(command, name))
     options = parser.parse_args(arguments)
     try:
         return options.run(options)
--- a/chicorychute/core/management/base.py
+++ b/chicorychute/core/management/base.py
@@ -17,10 +17,17 @@
 
 
 class BaseCommand:
-    """One command: its help, its arguments and what it does."""
+    """One command: its help, its arguments and what it does.
+
+    Attributes
+    ----------
+    takes_long : bool
+        Whether a person is shown that it is at work.
+    """
 
     help = ""
     examples = ""
+    takes_long = False
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the arguments on `parser`."""
--- a/chicorychute/core/management/commands/bench.py
+++ b/chicorychute/core/management/commands/bench.py
@@ -33,6 +33,7 @@
         "  chicorychute bench --only traces --traces traces --against before.json\n"
         "exit codes: 0 measured, 1 a figure is worse or an outcome broken, 2 bad input"
     )
+    takes_long = True
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare what to measure and the files."""
--- a/chicorychute/core/management/commands/replay.py
+++ b/chicorychute/core/management/commands/replay.py
@@ -27,6 +27,7 @@
         "  chicorychute replay day.jsonl --expect day.outcomes.json --json\n"
         "exit codes: 0 all held, 1 an outcome did not hold, 2 bad input"
     )
+    takes_long = True
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the files."""
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -1,6 +1,7 @@
 import json
 import resource
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -216,6 +217,16 @@
     assert first.split("\t")[2] == "POST /orders"
 
 
+@pytest.mark.parametrize("terminal", [True, False])
+def test_long_work_shows_progress_on_a_terminal_only(terminal, monkeypatch, capsys):
+    monkeypatch.setattr("sys.stderr.isatty", lambda: terminal)
+    trace = Path(__file__).parents[2] / "traces" / "smriti-healthy.jsonl"
+    assert main(["replay", str(trace), "--json"]) == 0
+    shown = capsys.readouterr()
+    assert ("replay: at work for 0 s" in shown.err) is terminal
+    assert json.loads(shown.out)["broken"] == []
+
+
 def test_run_takes_every_file_descriptor_it_may_have():
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 256), hard))
