Keep a dropped connection from being handled twice at the edge

Cause: found in review: one event may drop another waiting connection (most connections reached, no file descriptor, memory), whose own event still follows in the same batch. Change: an event counts only for a connection that is still watched. Tests for the bound on connections, for lack of file descriptors, for requests that a half-close ends early, and that both kinds are counted.

--- a/chicorychute/transport/edge_connections.py
+++ b/chicorychute/transport/edge_connections.py
@@ -63,13 +63,20 @@
     def _watch(self, conn) -> None:
         self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, conn)
 
+    def _is_watched(self, fd: int, conn) -> bool:
+        """Return whether a connection still waits: one event may end another's wait."""
+        try:
+            return self._selector._selector.get_key(fd).data is conn
+        except KeyError:
+            return False
+
     def _run(self, expiration_interval: float) -> None:
         next_s = self._clock.monotonic() + expiration_interval
         while not self._stop_requested:
             for fd, conn in self._selector.select(timeout=expiration_interval):
                 if conn is self.server:
                     self._accept()
-                elif not self._receive(conn):
+                elif self._is_watched(fd, conn) and not self._receive(conn):
                     self._selector.unregister(fd)
                     self._pass_on(conn)
             if self._clock.monotonic() >= next_s:
--- a/tests/transport/test_edge.py
+++ b/tests/transport/test_edge.py
@@ -219,10 +219,25 @@
     assert_serves(port)
 
 
-def test_body_that_ends_early_is_refused(script, port):
-    data = get("/a", "Content-Length: 10", method="POST", body=b"half")
-    assert_refused(talk(port, data, half_close=True), 400, BAD)
+@pytest.mark.parametrize(
+    ("data", "outcome"),
+    [
+        (b"GET /a HTTP/1.1\r\nHost: a\r\nX-Slo", "unknown"),
+        (get("/a", "Content-Length: 10", method="POST", body=b"half"), "not-run"),
+        (get("/a", "Transfer-Encoding: chunked", body=b"5\r\nab"), "not-run"),
+    ],
+    ids=["head", "body", "chunk"],
+)
+def test_request_that_ends_early_is_refused(script, port, data, outcome):
+    assert_refused(talk(port, data, half_close=True), 400, BAD, outcome)
     assert script.requests == []
+    assert script.refusals == [BAD]
+
+
+def test_connection_that_ends_without_a_request_is_closed(script, port):
+    assert talk(port, b"", half_close=True) == b""
+    assert script.refusals == []
+    assert_serves(port)
 
 
 @pytest.mark.parametrize(
@@ -237,6 +252,7 @@
 def test_slow_sender_is_refused(script, port, data, outcome):
     assert_refused(talk(port, data), 408, Reason.SLOW_REQUEST, outcome)
     assert script.requests == []
+    assert script.refusals == [Reason.SLOW_REQUEST]
     assert_serves(port)
 
 
--- a/tests/transport/test_slow_senders.py
+++ b/tests/transport/test_slow_senders.py
@@ -1,12 +1,14 @@
 """Senders that never finish hold no thread, and no more memory than is set."""
 
 import contextlib
+import errno
 import socket
 
 import pytest
 
 from chicorychute.core.system_clock import SystemClock
 from chicorychute.pipeline.values import Answer, WholeBody
+from chicorychute.transport import edge_connections
 from chicorychute.transport.edge import EdgeApplication, EdgeServer
 from chicorychute.transport.edge_connections import MAX_HELD_BYTES
 
@@ -15,6 +17,7 @@
 LIMIT_S = 600.0  # never reached here
 WAIT_S = 60.0
 MAX_BODY_BYTES = 4 << 20
+ENDED = (b"HTTP/1.1 503", b"")  # refused, or closed before its bytes were received
 ORDINARY = b"GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
 SIZED = POST + b"Content-Length: 1000\r\n\r\n"
@@ -114,6 +117,53 @@
     assert 0 < refused < senders
 
 
+def test_above_the_most_connections_the_one_that_waited_longest_goes(port, monkeypatch):
+    monkeypatch.setattr(edge_connections, "MAX_CONNECTIONS", THREADS)
+    with contextlib.ExitStack() as held:
+        first = held.enter_context(connect(port))
+        first.sendall(POST)
+        for _ in range(SENDERS):
+            held.enter_context(connect(port))
+        assert ask(port).startswith(b"HTTP/1.1 200")
+        assert receive_all(first)[:12] in ENDED
+
+
+def test_connections_that_end_one_another_in_one_go_are_answered_once(
+    port, monkeypatch, capsys
+):
+    monkeypatch.setattr(edge_connections, "MAX_CONNECTIONS", THREADS)
+    for _ in range(20):
+        with contextlib.ExitStack() as held:
+            senders = [held.enter_context(connect(port)) for _ in range(SENDERS)]
+            for piece in (ORDINARY[:-2], ORDINARY[-2:]):
+                for sock in senders:
+                    with contextlib.suppress(OSError):  # it was refused before
+                        sock.sendall(piece)
+            for sock in senders:
+                with contextlib.suppress(ConnectionError):
+                    assert receive_all(sock).count(b"HTTP/1.1 ") <= 1
+    assert ask(port).startswith(b"HTTP/1.1 200")
+    assert "Error in HTTPServer.serve" not in capsys.readouterr().out
+
+
+def test_edge_without_file_descriptors_makes_room(port, monkeypatch):
+    accept = edge_connections.EdgeConnections._from_server_socket
+    failures = iter([OSError(errno.EMFILE, "too many open files")])
+
+    def fail_once(connections, server_socket):
+        for failure in failures:
+            raise failure
+        return accept(connections, server_socket)
+
+    with connect(port) as idle:
+        idle.sendall(b"GET")
+        assert ask(port).startswith(b"HTTP/1.1 200")  # so the idle one was accepted
+        patched = edge_connections.EdgeConnections
+        monkeypatch.setattr(patched, "_from_server_socket", fail_once)
+        assert ask(port).startswith(b"HTTP/1.1 200")
+        assert receive_all(idle)[:12] in ENDED
+
+
 def test_caller_that_waits_to_send_its_body_is_asked_for_it(port):
     with connect(port) as sock:
         sock.sendall(POST + b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n")
