--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -15,7 +15,7 @@
 
 from standins.oneway import OneWayPaths
 
-START_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 120.0  # a loaded machine takes long to start processes
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 ROOT = Path(__file__).resolve().parent.parent
