--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,7 +1,9 @@
 """Starts a small fleet on loopback: stand-ins and a daemon beside each upstream."""
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +20,7 @@
 START_TIMEOUT_S = 120.0  # a loaded machine takes long to start processes
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+SERVER_PORTS = range(10_000, 32_000)  # below those that Linux gives to clients
 ROOT = Path(__file__).resolve().parent.parent
 
 TABLE_HEADER = (
@@ -62,8 +65,13 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    """Return ports that were free a moment ago, none of which a client is given."""
+    sockets = []
+    for port in random.SystemRandom().sample(SERVER_PORTS, len(SERVER_PORTS)):
+        if len(sockets) == count:
+            break
+        with contextlib.suppress(OSError):
+            sockets.append(socket.create_server(("127.0.0.1", port)))
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
         sock.close()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,7 +1,7 @@
 """Upstream stand-in: slots, service times and faults that can be set.
 
-``POST /control`` takes JSON with any of the fields of `Faults`; ``GET /counts``
-answers what ran. Every other request is work.
+``POST /control`` takes JSON with any of the fields of `Faults`, and counts the most
+that run at a time anew; ``GET /counts`` answers what ran. All else is work.
 """
 
 import argparse
