--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts a small fleet on loopback: stand-ins and a daemon beside each upstream."""
 
+import contextlib
 import json
 import os
 import random
@@ -70,7 +71,7 @@
     a port from there may be taken again before its server listens.
     """
     ports = []
-    for port in random.sample(SERVER_PORTS, len(SERVER_PORTS)):
+    for port in random.SystemRandom().sample(SERVER_PORTS, len(SERVER_PORTS)):
         if _is_free(port):
             ports.append(port)
         if len(ports) == count:
