Let a test cut the path between two daemons in one direction

Cause: no test with real processes could hold back the bytes of one direction while the links stay open. Change: `Fleet(..., cuttable=True)` puts a relay between each ordered pair of daemons; `fleet.paths.cut(sender.peer_port, receiver.peer_port)` holds what one sends to the other, on links that either of them opened, and `fleet.paths.heal()` delivers it. A daemon announces the port on which it listens, so its own connections are redirected by the program that starts it. Ruled out: naming the relay in the platform's list, as peers take the address from the daemon's own record; one relay for each daemon, which can't tell who opened a link.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,6 +13,8 @@
 import attrs
 import urllib3
 
+from standins.oneway import OneWayPaths
+
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -83,6 +85,8 @@
         Further settings for every daemon.
     edge_threads : int
         Threads with which each daemon answers callers.
+    cuttable : bool
+        Whether `paths` can cut the peer links in one direction.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         service_ms: float = 10.0,
         extra_ini: str = "",
         edge_threads: int = 360,
+        cuttable: bool = False,
     ):
         self._service_ms = service_ms
         self._extra_ini = extra_ini
@@ -116,6 +121,8 @@
             )
             for number, (region, zone, service) in enumerate(places, start=1)
         ]
+        peer_ports = [node.peer_port for node in self.nodes]
+        self.paths = OneWayPaths(peer_ports) if cuttable else None
 
     def __enter__(self) -> "Fleet":
         try:
@@ -167,6 +174,8 @@
         for process in others:
             end(process, signal.SIGKILL)
             process.wait()
+        if self.paths:
+            self.paths.close()
         self.http.clear()
         self._directory.cleanup()
 
@@ -199,7 +208,11 @@
         """Write the settings of a node's daemon and start it."""
         path = self.path / f"{node.instance}.ini"
         path.write_text(self._ini(node), "utf-8")
-        node.daemon = self.spawn("chicorychute", "run", "-c", path)
+        command = ["chicorychute", "run", "-c", path]
+        if self.paths:
+            redirects = self.paths.redirects(node.peer_port)
+            command = ["standins.oneway", redirects, *command[1:]]
+        node.daemon = self.spawn(*command)
 
     def wait_ready(self, node: Node) -> None:
         """Wait until a daemon answers that it is ready."""
