--- a/tests/membership/net.py
+++ b/tests/membership/net.py
@@ -71,13 +71,13 @@
     def cut(self, senders, receivers):
         self.cuts |= {(s, r) for s in senders for r in receivers}
 
-    def rounds(self, count):
+    def rounds(self, count, pause_s=ROUND_S):
         for _ in range(count):
             for instance, view in list(self.view_by_id.items()):
                 if instance not in self.frozen:
                     self._publish(instance)
                     self._deliver(instance, view.gossip_round())
-            self.clock.advance(ROUND_S)
+            self.clock.advance(pause_s)
 
     def settle(self):
         for view in self.view_by_id.values():
@@ -113,9 +113,11 @@
                 return view.on_probe_request(message)
 
     def _publish(self, instance):
-        digests = tuple(digest_of(instance, s) for s in self.services_by_id[instance])
         version, hash = self.table_key(instance)
-        self.view_by_id[instance].publish(version, digests, hash)
+        self.view_by_id[instance].publish(version, self.digests(instance), hash)
+
+    def digests(self, instance):
+        return tuple(digest_of(instance, s) for s in self.services_by_id[instance])
 
     def _deliver(self, sender, sends):
         waiting = [(sender, send) for send in sends]
--- /dev/null
+++ b/tests/membership/test_work_pairs.py
@@ -0,0 +1,172 @@
+"""Pairs of faults under work: a flood of one rank beside another fault."""
+
+import pytest
+
+from chicorychute.admission.quarantine import Quarantine, Ruling
+from chicorychute.core.messages import MemberStatus, QuarantineNotice
+from chicorychute.membership.view import Send
+from chicorychute.table.versions import content_hash
+from standins.demo import make_table
+from tests.membership.net import ROUND_S, Net, TableNet
+from tests.membership.work import WorkNet
+
+IDS = [f"i{number:02}" for number in range(12)]
+ALIVE = {MemberStatus.ALIVE}
+ORDER, FLOOD = 0.5, 6.0  # requests a step at each entry; 2.0 fill the upstreams
+CALM_ROUNDS, FAULT_ROUNDS = 10, 20
+ORDERS_SERVED = 0.98  # of the orders, which ask for a quarter of the slots
+NO_NEW_WORK_ROUNDS = int(3 / ROUND_S)
+
+
+@pytest.fixture
+def net():
+    net = WorkNet(IDS)
+    net.work(CALM_ROUNDS, ORDER)
+    return net
+
+
+def assert_orders_are_served(net):
+    assert net.share("order") >= ORDERS_SERVED
+    assert net.ended["bulk", "refused"] > net.ended["order", "refused"]
+
+
+def test_cut_and_flood(net):
+    net.cut(["i03"], ["i04"])
+    for _ in range(FAULT_ROUNDS):
+        net.work(1, ORDER, FLOOD)
+        for instance in IDS:
+            assert set(net.claims(instance).values()) == ALIVE
+    net.work(CALM_ROUNDS, ORDER, FLOOD)
+    assert net.view_by_id["i03"].status_of("i04") is MemberStatus.SUSPECT
+    assert net.sent_to["i04"] > 0
+    assert_orders_are_served(net)
+
+
+def test_freeze_and_flood(net):
+    net.frozen.add("i03")
+    net.work(FAULT_ROUNDS, ORDER, FLOOD)
+    assert set(net.statuses("i03").values()) == {MemberStatus.DEAD}
+    net.work(CALM_ROUNDS, ORDER, FLOOD)
+    assert net.sent_to["i03"] == 0
+    assert_orders_are_served(net)
+    net.frozen.clear()
+    net.work(CALM_ROUNDS, ORDER, FLOOD)
+    assert all(set(net.claims(i).values()) == ALIVE for i in IDS)
+    assert net.sent_to["i03"] > 0
+
+
+def test_zone_lost_and_flood(net):
+    lost = [i for i in IDS if net.view_by_id[i].own.zone == "z1"]
+    for instance in lost:
+        net.kill(instance)
+    net.work(FAULT_ROUNDS, ORDER, FLOOD)
+    net.work(CALM_ROUNDS, ORDER, FLOOD)
+    assert not any(net.sent_to[instance] for instance in lost)
+    assert_orders_are_served(net)
+
+
+def test_leaving_and_crash(net):
+    message = net.view_by_id["i03"].leave()
+    net.send("i03", "i07", message)
+    net.kill("i07")
+    net.work(NO_NEW_WORK_ROUNDS, ORDER, FLOOD)
+    net.work(CALM_ROUNDS, ORDER, FLOOD)
+    assert net.sent_to["i03"] == 0
+    assert_orders_are_served(net)
+
+
+POISON = "poison"
+CRASHES = 3  # beside others, alone at each of two more at most
+
+
+class CrashNet(Net):
+    """Views whose instances rule on requests by the crashes they are told of."""
+
+    def __init__(self, ids):
+        self.quarantine_by_id = {}
+        self.crashes = 0
+        self.answered = set()
+        super().__init__(ids)
+
+    def start(self, instance, **options):
+        self.quarantine_by_id[instance] = Quarantine(instance, 1, self.clock)
+        return super().start(instance, **options)
+
+    def answer(self, sender, receiver, message):
+        if isinstance(message, QuarantineNotice):
+            self.quarantine_by_id[receiver].on_notice(message)
+            return ()
+        return super().answer(sender, receiver, message)
+
+    def repair(self):
+        """Tell one other instance each what it may have missed."""
+        for instance, quarantine in self.quarantine_by_id.items():
+            other = self.rng.choice([i for i in IDS if i != instance])
+            sends = [Send(other, notice) for notice in quarantine.notices()]
+            self._deliver(instance, sends)
+
+    def run(self, gate, requests, lost=()):
+        """Run requests at once at a gate; returns those that it lets run."""
+        quarantine = self.quarantine_by_id[gate]
+        free = [r for r in requests if quarantine.rule(r) is Ruling.FREE]
+        alone = [[r] for r in requests if quarantine.rule(r) is Ruling.ALONE]
+        for group in [free, *alone]:
+            number_by_request = {r: quarantine.started(gate, r) for r in group}
+            if POISON in group:
+                self._crash(gate, number_by_request[POISON])
+                continue
+            for request, number in number_by_request.items():
+                quarantine.ended(gate, number, request not in lost)
+                if request not in lost:
+                    self.answered.add(request)
+        self.clock.advance(0.1)
+
+    def _crash(self, gate, number):
+        self.crashes += 1
+        for notice in self.quarantine_by_id[gate].crashed(gate, number):
+            sends = [Send(other, notice) for other in IDS if other != gate]
+            self._deliver(gate, sends)
+
+
+def test_poison_request_and_gray_instance():
+    net = CrashNet(IDS)
+    net.cut(["i05"], IDS[6:])  # what it sees reaches half of the others by repair only
+    lost_before = []
+    for number in range(40):
+        gate = IDS[(number * 5) % len(IDS)]
+        innocent = [f"r{number}-{n}" for n in range(3)]
+        net.run("i03", innocent, lost=innocent[:1])  # gray: loses one of three
+        net.run(gate, [POISON, *innocent[:1], *lost_before])
+        lost_before = innocent[:1]
+        net.repair()
+    assert net.crashes <= CRASHES
+    for quarantine in net.quarantine_by_id.values():
+        assert quarantine.rule(POISON) is Ruling.REFUSED
+    others = {f"r{number}-{n}" for number in range(39) for n in range(3)}
+    for quarantine in net.quarantine_by_id.values():
+        assert all(quarantine.rule(r) is not Ruling.REFUSED for r in others)
+    assert others <= net.answered
+
+
+def test_store_down_and_restart_of_a_region():
+    net = TableNet(IDS)
+    for instance in IDS:
+        net.versions_by_id[instance].offer(1, make_table(4000))
+    net.rounds(CALM_ROUNDS)
+    newest = make_table(5000)
+    net.take("i00", 2, newest)
+    net.rounds(CALM_ROUNDS)
+    region = IDS[6:]
+    for instance in region:
+        net.kill(instance)
+    seen = set()
+    for instance in region:  # each finds but one restarted before, as after an outage
+        view = net.start(instance, incarnation=2)
+        seed = "i00" if instance == region[0] else region[region.index(instance) - 1]
+        net.send(instance, seed, view.message_for(seed, True))
+    for _ in range(int(5 / ROUND_S)):
+        net.rounds(1)
+        seen |= {net.table_key(instance)[0] for instance in region}
+    assert seen <= {0, 2}  # not ready, or the newest: never an older one
+    assert net.keys() == {(2, content_hash(newest))}
+    assert all(set(net.statuses(i).values()) == ALIVE for i in IDS)
