--- a/chicorychute/services/status.py
+++ b/chicorychute/services/status.py
@@ -86,6 +86,7 @@
         "slots": digest.slots,
         "in_flight": digest.in_flight,
         "queued": digest.queued,
+        "weight": round(digest.weight, 3),
         "latency_ms": round(digest.latency_ms, 2),
         "failure_share": round(digest.failure_share, 3),
     }
