Measure teams, and the decisions of entry, gate and home, at the target

Cause: CAPACITY.md had no slope for teams, nor for processor time and memory of entry, gate and home. Change: bench.capacity teams and requests; the view of members holds only the digests that it would be told.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,7 @@
 """Measures the slopes that docs/CAPACITY.md works out the target from.
 
-``python -m bench.capacity members|gossip|digests|spread|table|relay|resident``
+``python -m bench.capacity members|gossip|digests|spread|table|relay|teams``
+``python -m bench.capacity requests|resident``
 """
 
 import argparse
@@ -13,6 +14,8 @@
 
 import attrs
 
+from chicorychute.admission.queue import RankPolicy, Ticket, UpstreamQueue
+from chicorychute.admission.rate import TEAM_LIMIT, TeamRates
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import (
     DigestUpdate,
@@ -24,10 +27,19 @@
     UpstreamDigest,
     Verdict,
 )
+from chicorychute.health.evidence import Observation, Result
+from chicorychute.health.judge import UpstreamJudge
+from chicorychute.membership.digests import of_services
 from chicorychute.membership.readers import readers
 from chicorychute.membership.records import without_detail
 from chicorychute.membership.selection import SMALL_FLEET
 from chicorychute.membership.view import MembershipView
+from chicorychute.orders.ledger import ENTRY_LIMIT, OrderLedger, StoredAnswer
+from chicorychute.orders.token import TOKEN_LIFE_US, OrderKey
+from chicorychute.platform.pacing import ReadPace
+from chicorychute.routing.candidates import eligible
+from chicorychute.routing.choice import choose
+from chicorychute.services.fleet import FleetService
 from chicorychute.table.edits import parse_edit
 from chicorychute.table.parse import parse_table
 from chicorychute.table.relay import Place, announce_targets
@@ -41,6 +53,10 @@
 UPSTREAMS_EACH = 8
 SERVICES = 2_000
 ROUTES = 63_000
+TEAMS = 310_000
+REQUESTS_S = 310_000
+GATE_REQUESTS_S = REQUESTS_S / DAEMONS
+DECISIONS = 10_000
 ZONES = 9
 REGION_BY_ZONE = ("r0", "r0", "r0", "r1", "r1", "r2", "r2", "r3", "r3")
 RANKS = ("lookup", "order")
@@ -127,7 +143,11 @@
     services = set(own.services)
     for record in records:
         strange = large and services.isdisjoint(record.services)
-        sent = without_detail(record) if strange else record
+        shared = (
+            of_services(record.upstreams, own.services) if large else record.upstreams
+        )
+        told = attrs.evolve(record, upstreams=shared)
+        sent = without_detail(record) if strange else told
         yield decode(encode(Gossip(own.instance, False, (sent,)))).records[0]
 
 
@@ -415,6 +435,110 @@
     return [place.instance for place in rng.sample(others, 5)]
 
 
+def measure_teams() -> None:
+    """Print memory and processor time of the rates of teams at one gate."""
+    rng = random.Random(1)
+    clock = ManualClock()
+    for teams in (100, TEAM_LIMIT, TEAMS):
+        names = [f"team-{rng.randrange(teams):06}" for _ in range(4 * TEAM_LIMIT)]
+        tracemalloc.start()
+        rates = TeamRates(clock)
+        _take_each(rates, names, clock)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        cost_s = timed(lambda r=rates, n=names: _take_each(r, n, clock)) / len(names)
+        print(
+            f"teams={teams} buckets={len(rates)} bytes={held} "
+            f"take_us={cost_s * MILLION:.2f}"
+        )
+
+
+def _take_each(rates: TeamRates, names: list[str], clock: ManualClock) -> None:
+    for name in names:
+        clock.advance(1 / GATE_REQUESTS_S)
+        rates.take("lookup", name, 5.0)
+
+
+def measure_requests() -> None:
+    """Print processor time and memory of the decisions of entry, gate and home."""
+    _measure_entry()
+    _measure_gate()
+    _measure_home()
+
+
+def _measure_entry() -> None:
+    view = make_view(DAEMONS)
+    rng = random.Random(1)
+    pace = ReadPace(1.0, 0.0, ManualClock(), rng)
+    fleet = FleetService(view, None, (), None, pace, rng, lambda: None)
+    service = view.own.services[0]
+    table = parse_table(1, make_table_text(SERVICES, ROUTES // SERVICES)).ok_value
+    index = RouteIndex(table)
+    path = f"/{service}/order/3/any/further/path"
+
+    def route() -> None:
+        for _ in range(DECISIONS):
+            index.find("GET", path)
+            kept = eligible(fleet.candidates(service), 0.5, rng.random())
+            choose(kept, {}, frozenset(), rng, 1_000.0, True, "lookup")
+
+    print(
+        f"entry members={DAEMONS} candidates={len(fleet.candidates(service))} "
+        f"decision_us={timed(route) / DECISIONS * MILLION:.0f}"
+    )
+
+
+def _measure_gate() -> None:
+    clock = ManualClock()
+    policies = [
+        RankPolicy("lookup", 1, 0.5),
+        RankPolicy("order", 2, 0.3),
+    ]
+    tracemalloc.start()
+    gates = [
+        (UpstreamQueue(4, policies, clock), UpstreamJudge(clock))
+        for _ in range(UPSTREAMS_EACH)
+    ]
+
+    def serve() -> None:
+        for number in range(DECISIONS):
+            queue, judge = gates[number % UPSTREAMS_EACH]
+            rank = RANKS[number % 2]
+            ticket = Ticket(rank, clock.monotonic() + 1.0)
+            queue.submit(ticket)
+            attempt = judge.begin(rank)
+            clock.advance(0.01)
+            judge.observe(Observation(rank, Result.OK, 0.01, 100), attempt)
+            queue.release(ticket)
+
+    serve()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(
+        f"gate upstreams={UPSTREAMS_EACH} bytes={held} "
+        f"request_us={timed(serve) / DECISIONS * MILLION:.0f}"
+    )
+
+
+def _measure_home() -> None:
+    ledger = OrderLedger("i", 1, ManualClock())
+    answer = StoredAnswer(200, (("Content-Type", "application/json"),), b"x" * 100)
+    tracemalloc.start()
+    start_s = time.process_time()
+    for number in range(DECISIONS):
+        key = OrderKey(ledger.mint(), f"order-{number}")
+        ledger.begin(key, f"{number:032x}")
+        ledger.ran(key, answer)
+    cost_s = time.process_time() - start_s
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(
+        f"home orders={len(ledger)} bytes={held} "
+        f"order_us={cost_s / DECISIONS * MILLION:.0f} "
+        f"orders_s_until_full={ENTRY_LIMIT / (TOKEN_LIFE_US / MILLION):.1f}"
+    )
+
+
 def measure_resident() -> None:
     """Print the resident memory of the idle daemons of a small fleet."""
     places = [(f"r{n // 2}", f"zone-{n}", "service-0000") for n in range(6)]
@@ -442,6 +566,8 @@
     "spread": measure_spread,
     "table": measure_table,
     "relay": measure_relay,
+    "teams": measure_teams,
+    "requests": measure_requests,
     "resident": measure_resident,
 }
 
