--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,6 +1,5 @@
 """Starts a small fleet on loopback: stand-ins and a daemon beside each upstream."""
 
-import contextlib
 import json
 import os
 import random
