--- a/chicorychute/bench/ranks.py
+++ b/chicorychute/bench/ranks.py
@@ -103,6 +103,7 @@
     Scenario("plain load", (1.0, 1.0, 1.0)),
     Scenario("flood of the least urgent", (1.0, 1.0, 10.0)),
     Scenario("flood of the most urgent", (10.0, 1.0, 1.0)),
+    Scenario("mild flood of the most urgent", (4.0, 1.0, 1.0)),
     Scenario("flood, a third gray", (1.0, 1.0, 10.0), gray=UPSTREAMS // 3),
     Scenario("urgent load at 0.9", (3.0, 1.0, 10.0)),
 )
@@ -170,10 +171,12 @@
 
 @attrs.define
 class RankResult:
-    """What one rank got while the flood lasted."""
+    """What one rank got while the flood lasted, its start counted apart."""
 
     offered: int = 0
     in_target: int = 0
+    offered_at_start: int = 0
+    in_target_at_start: int = 0
     in_deadline: int = 0
     late: int = 0
     refused_early: int = 0
@@ -186,6 +189,11 @@
         """Part of the offered requests that were answered within their target."""
         return self.in_target / max(self.offered, 1)
 
+    @property
+    def start_share(self) -> float:
+        """The same part of those offered before the flood had settled."""
+        return self.in_target_at_start / max(self.offered_at_start, 1)
+
 
 @attrs.frozen
 class Measurement:
@@ -259,8 +267,9 @@
             self._deliver(queue.advance())
 
     def _arrive(self, arrival: Arrival) -> None:
-        if _measured(arrival.at_s):
-            self.by_rank[arrival.rank].offered += 1
+        result = self.by_rank[arrival.rank]
+        result.offered += _measured(arrival.at_s)
+        result.offered_at_start += _at_start(arrival.at_s)
         self._submit(_Call(arrival))
 
     def _submit(self, call: _Call) -> None:
@@ -325,6 +334,8 @@
         load = self._demand_by_rank[call.arrival.rank]
         result = self.by_rank[load.rank]
         took_s = now_s - call.arrival.at_s
+        if _at_start(call.arrival.at_s):
+            result.in_target_at_start += took_s <= load.target_s
         if _measured(call.arrival.at_s):
             result.in_target += took_s <= load.target_s
             result.in_deadline += took_s <= load.deadline_s
@@ -339,6 +350,10 @@
     return FLOOD_START_S + SETTLE_S <= at_s < FLOOD_END_S
 
 
+def _at_start(at_s: float) -> bool:
+    return FLOOD_START_S <= at_s < FLOOD_START_S + SETTLE_S
+
+
 def measure(
     way: Way, scenario: Scenario, seed: int = SEED, demands: Demands = LOADS
 ) -> Measurement:
@@ -364,6 +379,7 @@
     for rank, result in found.by_rank.items():
         for what, value in (
             ("in target", result.target_share),
+            ("in target at the start", result.start_share),
             ("keeps", found.kept(rank)),
         ):
             name = f"{prefix} | {rank} {what}"
--- a/chicorychute/replay/baselines.py
+++ b/chicorychute/replay/baselines.py
@@ -20,7 +20,7 @@
     Attributes
     ----------
     sensitivity : float
-        Taken from the table and without effect.
+        Taken from the table and without effect, as is a cold start.
     """
 
     reason = "plain limit"
@@ -28,7 +28,7 @@
     weight = 1.0
     suspicion = 0.0
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, cold: bool = False):
         self.sensitivity = 1.0
         self._clock = clock
         self._verdict = Verdict.HEALTHY
@@ -87,8 +87,8 @@
         Ratio to the peers' average that ejects.
     """
 
-    def __init__(self, clock: Clock, slow_factor: float = 4.0):
-        super().__init__(clock)
+    def __init__(self, clock: Clock, slow_factor: float = 4.0, cold: bool = False):
+        super().__init__(clock, cold)
         self._slow_factor = slow_factor
         self._failure_limit = 0.075 * slow_factor
         self._failure_share = 0.0
@@ -121,8 +121,14 @@
         Share of the last results that ejects.
     """
 
-    def __init__(self, clock: Clock, limit_s: float = 0.2, bad_share: float = 0.3):
-        super().__init__(clock)
+    def __init__(
+        self,
+        clock: Clock,
+        limit_s: float = 0.2,
+        bad_share: float = 0.3,
+        cold: bool = False,
+    ):
+        super().__init__(clock, cold)
         self._limit_s = limit_s
         self._bad_share = bad_share
         self._recent: deque[bool] = deque(maxlen=WINDOW)
--- a/chicorychute/replay/player.py
+++ b/chicorychute/replay/player.py
@@ -16,7 +16,7 @@
     Ticket,
     UpstreamQueue,
 )
-from chicorychute.core.clock import Clock, ManualClock
+from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import UpstreamDigest, Verdict
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
 from chicorychute.health.judge import Attempt, UpstreamJudge
@@ -61,7 +61,7 @@
     Attributes
     ----------
     make_judge : callable
-        Returns the judge of one upstream.
+        Returns the judge of one upstream for a clock, and whether it is cold.
     eligible : callable
         Returns the upstreams that a request may be sent to.
     retries : bool
@@ -69,7 +69,7 @@
     """
 
     order: ServiceOrder = MIXTURE
-    make_judge: Callable[[Clock], UpstreamJudge] = UpstreamJudge
+    make_judge: Callable[..., UpstreamJudge] = UpstreamJudge
     eligible: Callable[..., list[Candidate]] = eligible
     retries: bool = True
 
@@ -194,6 +194,8 @@
             case FloodEvent(rank, flooding):
                 change = self._flooding.add if flooding else self._flooding.discard
                 change(rank)
+            case VerdictEvent(name, Verdict.COLD, _):
+                self._start_cold(self._upstream(traced.line, name))
             case VerdictEvent() | EndEvent():
                 pass
 
@@ -216,6 +218,13 @@
                 (row.sensitivity for row in rows), default=1.0
             )
 
+    def _start_cold(self, upstream: _Upstream) -> None:
+        """Follow a start that was recorded, which no decision brings about."""
+        sensitivity = upstream.judge.sensitivity
+        upstream.judge = self._decisions.make_judge(self._clock, cold=True)
+        upstream.judge.sensitivity = sensitivity
+        upstream.verdict = upstream.judge.verdict()
+
     def _mark(self, upstream: _Upstream, sick: bool) -> None:
         upstream.sick = sick
         if not sick:
--- a/chicorychute/replay/trace.py
+++ b/chicorychute/replay/trace.py
@@ -5,6 +5,7 @@
 body, a header, a path of a request, a team or a key.
 """
 
+import functools
 import json
 import math
 from collections.abc import Iterable, Iterator
@@ -146,6 +147,8 @@
 
 def to_line(at_s: float, event: Event) -> str:
     """Return the line of an event, without its line feed."""
+    if type(event) is RequestEvent:
+        return _request_line(at_s, event)
     fields: dict[str, Any] = {"t": round(at_s, 4), "e": _KIND_BY_CLASS[type(event)]}
     match event:
         case Start(services, whole):
@@ -160,6 +163,18 @@
     return json.dumps(fields, separators=(",", ":"))
 
 
+def _request_line(at_s: float, event: RequestEvent) -> str:
+    """Return the line of the most frequent event, without a map between."""
+    healthy_ms = event.healthy_ms
+    known = f',"healthy_ms":{healthy_ms:.3f}' if healthy_ms >= 0 else ""
+    return (
+        f'{{"t":{at_s:.4f},"e":"request","upstream":{_quoted(event.upstream)},'
+        f'"rank":{_quoted(event.rank)},"deadline_ms":{event.deadline_ms:.3f},'
+        f'"service_ms":{event.service_ms:.3f},"result":"{event.result.value}",'
+        f'"bytes":{event.bytes}{known}}}'
+    )
+
+
 def read_trace(lines: Iterable[str]) -> Iterator[TracedEvent]:
     """Read the events of a trace in the order of its lines.
 
@@ -189,6 +204,12 @@
         raise TraceError(1, "the trace is empty", "record it again")
 
 
+@functools.lru_cache(maxsize=1024)
+def _quoted(name: str) -> str:
+    """Return the name of an upstream or rank as a JSON string."""
+    return json.dumps(name)
+
+
 def _check_version(kind: str, version: Any) -> None:
     if kind != "start" or version is None:
         problem = "the first line is not the start of a trace"
