--- a/bench/record.py
+++ b/bench/record.py
@@ -1,32 +1,70 @@
-"""Records a trace from real processes: ``python -m bench.record [FILE]``.
+"""Records a trace from real processes: ``python -m bench.record NAME [FILE]``.
 
-Four daemons with an upstream each serve lookups; one upstream begins to fail a
-third of its calls. The trace is that of the daemon beside it, with the moment marked
-from which the upstream is sick.
+Four daemons with an upstream each serve lookups of one user; then one upstream gets
+a fault. The trace is that of the daemon beside it, with the moment marked from which
+its answers show the fault.
 """
 
+import argparse
 import json
-import sys
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 
+import attrs
 import urllib3
 
 from bench.traces import DETECTION_S, FOLDER
 from chicorychute.health.evidence import Result
 from chicorychute.replay.trace import RequestEvent, SickEvent, read_trace, to_line
-from standins.demo import make_table
+from chicorychute.replay.users import PENTAGRAMA, SMRITI, User
 from standins.fleet import Fleet, Node
 
-PLACES = [("r1", "r1-a", "orders"), ("r1", "r1-b", "orders")] * 2
 CALLERS = 16
 CALL_PAUSE_S = 0.1
 WARM_S = 14.0  # past the cold start of every upstream
 SICK_S = 6.0
-FAIL_SHARE = 1 / 3
 SERVICE_MS = 20.0
+ZONES = ("r1-a", "r1-b") * 2
+
+
+@attrs.frozen
+class Recording:
+    """A trace to record: the user, the path that is called and the fault.
+
+    Attributes
+    ----------
+    shows : callable
+        Whether a request that ran shows the fault.
+    """
+
+    user: User
+    path: str
+    faults: dict[str, float]
+    shows: Callable[[RequestEvent], bool]
+
+
+def _failed(event: RequestEvent) -> bool:
+    return event.result is Result.FAILED
+
+
+def _empty(event: RequestEvent) -> bool:
+    return event.result is Result.OK and event.bytes == 0
+
+
+def _slow(event: RequestEvent) -> bool:
+    return event.service_ms > 5 * SERVICE_MS
+
+
+RECORDING_BY_NAME = {
+    "third-fails": Recording(SMRITI, "/kits", {"fail_share": 1 / 3}, _failed),
+    "smriti-empty-answers": Recording(SMRITI, "/kits", {"empty_share": 1 / 3}, _empty),
+    "pentagrama-ten-times-slow": Recording(
+        PENTAGRAMA, "/scores", {"slow_factor": 10.0}, _slow
+    ),
+}
 
 
 class RecordedFleet(Fleet):
@@ -38,8 +76,9 @@
         File that it writes.
     """
 
-    def __init__(self, trace: Path):
-        super().__init__(PLACES, make_table(5000), service_ms=SERVICE_MS)
+    def __init__(self, user: User, trace: Path):
+        places = [("r1", zone, user.service) for zone in ZONES]
+        super().__init__(places, user.table(), service_ms=SERVICE_MS)
         self.trace = trace
 
     def start_daemon(self, node: Node) -> None:
@@ -53,9 +92,9 @@
         node.daemon = self.spawn("chicorychute", *arguments)
 
 
-def call(fleet: Fleet, index: int, stopped: threading.Event) -> None:
+def call(fleet: Fleet, path: str, index: int, stopped: threading.Event) -> None:
     """Send lookups at a steady pace until stopped."""
-    url = fleet.nodes[index % len(fleet.nodes)].edge_url + f"/catalogue/{index}"
+    url = fleet.nodes[index % len(fleet.nodes)].edge_url + f"{path}/{index}"
     while not stopped.wait(CALL_PAUSE_S):
         try:
             fleet.http.request("GET", url)
@@ -63,21 +102,21 @@
             continue
 
 
-def record() -> list[str]:
+def record(recording: Recording) -> list[str]:
     """Run the processes and return the lines of the trace."""
     stopped = threading.Event()
     with (
         tempfile.TemporaryDirectory(prefix="chute-record-") as folder,
-        RecordedFleet(Path(folder) / "trace.jsonl") as fleet,
+        RecordedFleet(recording.user, Path(folder) / "trace.jsonl") as fleet,
     ):
         callers = [
-            threading.Thread(target=call, args=(fleet, index, stopped))
+            threading.Thread(target=call, args=(fleet, recording.path, index, stopped))
             for index in range(CALLERS)
         ]
         for caller in callers:
             caller.start()
         time.sleep(WARM_S)
-        fleet.set_faults(fleet.nodes[0], fail_share=FAIL_SHARE)
+        fleet.set_faults(fleet.nodes[0], **recording.faults)
         time.sleep(SICK_S)
         stopped.set()
         for caller in callers:
@@ -86,21 +125,25 @@
         return fleet.trace.read_text("utf-8").splitlines()
 
 
-def mark(lines: list[str]) -> list[str]:
+def mark(lines: list[str], recording: Recording) -> list[str]:
     """Add the statement that the upstream is sick, where its answers show it."""
     events = list(read_trace(lines))
     requests = [e for e in events if isinstance(e.event, RequestEvent)]
-    failed = [e for e in requests if e.event.result is Result.FAILED]
-    first = min(failed, key=lambda traced: traced.at_s)
+    showing = [e for e in requests if e.at_s > WARM_S / 2 and recording.shows(e.event)]
+    first = min(showing, key=lambda traced: traced.at_s)
     sick = to_line(first.at_s, SickEvent(first.event.upstream, True))
     return [*lines, sick]
 
 
 def main() -> None:
     """Record, mark and write the trace with its outcomes."""
-    default = FOLDER / "recorded-third-fails.jsonl"
-    path = Path(sys.argv[1]) if len(sys.argv) > 1 else default
-    lines = mark(record())
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("name", choices=RECORDING_BY_NAME)
+    parser.add_argument("file", type=Path, nargs="?")
+    options = parser.parse_args()
+    path = options.file or FOLDER / f"recorded-{options.name}.jsonl"
+    recording = RECORDING_BY_NAME[options.name]
+    lines = mark(record(recording), recording)
     path.write_text("\n".join(lines) + "\n", "utf-8")
     upstream = json.loads(lines[0])["services"][0][0]
     stated = [
