--- a/chicorychute/bench/cost.py
+++ b/chicorychute/bench/cost.py
@@ -1,9 +1,11 @@
 """Processor time and memory of the decisions."""
 
 import random
+import tempfile
 import time
 import tracemalloc
 from collections.abc import Callable
+from pathlib import Path
 
 from chicorychute.bench.figures import NOISY, Better, Figure
 from chicorychute.core.clock import ManualClock
@@ -20,16 +22,19 @@
 from chicorychute.replay.users import HEADER
 from chicorychute.routing.candidates import Candidate, Distance, eligible
 from chicorychute.routing.choice import choose
+from chicorychute.services.recorder import Recorder
 from chicorychute.table.parse import parse_table
 
 DECISIONS = 20_000
 ITEMS = 500
 UPSTREAMS = 12
+MAX_TRACE_BYTES = 1 << 30
+FAR_DEADLINE_S = 1e6
 RANKS = ("first", "second", "third")
 
 
 def measure_rates() -> list[Figure]:
-    """Return decisions a second of the judge and of the choice of a gate."""
+    """Return decisions a second of the judge, the choice and the recorder."""
     judge = UpstreamJudge(SystemClock())
     judge.take_peers([make_digest(index) for index in range(UPSTREAMS)])
     rng = random.Random(1)
@@ -49,7 +54,21 @@
     def route(index: int) -> None:
         choose(eligible(candidates, 0.5, rng.random()), {}, frozenset(), rng)
 
+    with tempfile.TemporaryDirectory(prefix="chute-bench-") as folder:
+        path = Path(folder) / "trace.jsonl"
+        recorder = Recorder(path, (("u0", "s"),), SystemClock(), MAX_TRACE_BYTES)
+
+        def record(index: int) -> None:
+            observation = observations[index % len(observations)]
+            recorder.arrived("u0", observation.rank, index + FAR_DEADLINE_S)
+            recorder.ended("u0", index + FAR_DEADLINE_S, observation)
+
+        recorded = _rate("recorded requests", record)
+        recorder.close()
+        size = path.stat().st_size / DECISIONS
     return [
+        recorded,
+        Figure("rates | length of a recorded request", size, "bytes", allowed=1.1),
         _rate("judge", observe),
         _rate(f"floor and choice of {UPSTREAMS}", route),
     ]
