--- a/chicorychute/bench/ranks.py
+++ b/chicorychute/bench/ranks.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -197,10 +198,17 @@
 
 @attrs.frozen
 class Measurement:
-    """Results of one order in one scenario; `capacity_s` is healthy slot time."""
+    """Results of one order in one scenario; `capacity_s` is healthy slot time.
+
+    Attributes
+    ----------
+    shares_by_rank : dict
+        Share answered in target for each second of arrival.
+    """
 
     by_rank: dict[str, RankResult]
     capacity_s: float
+    shares_by_rank: dict[str, tuple[float, ...]]
 
     @property
     def goodput(self) -> float:
@@ -233,6 +241,8 @@
         self._clock = ManualClock()
         self._demand_by_rank = {demand.rank: demand for demand in demands}
         self._turns = itertools.count()
+        self._offered: Counter[tuple[str, int]] = Counter()
+        self._in_target: Counter[tuple[str, int]] = Counter()
         policies = order.adapt(
             tuple(RankPolicy(d.rank, d.priority, d.share) for d in demands)
         )
@@ -257,7 +267,17 @@
             act()
         healthy = UPSTREAMS - self._scenario.gray
         span_s = FLOOD_END_S - FLOOD_START_S - SETTLE_S
-        return Measurement(self.by_rank, healthy * SLOTS * span_s)
+        return Measurement(self.by_rank, healthy * SLOTS * span_s, self._shares())
+
+    def _shares(self) -> dict[str, tuple[float, ...]]:
+        seconds = range(int(FLOOD_END_S))
+        return {
+            rank: tuple(
+                self._in_target[rank, second] / max(self._offered[rank, second], 1)
+                for second in seconds
+            )
+            for rank in self.by_rank
+        }
 
     def _at(self, at_s: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._numbers), act))
@@ -270,6 +290,7 @@
         result = self.by_rank[arrival.rank]
         result.offered += _measured(arrival.at_s)
         result.offered_at_start += _at_start(arrival.at_s)
+        self._offered[arrival.rank, int(arrival.at_s)] += 1
         self._submit(_Call(arrival))
 
     def _submit(self, call: _Call) -> None:
@@ -334,6 +355,8 @@
         load = self._demand_by_rank[call.arrival.rank]
         result = self.by_rank[load.rank]
         took_s = now_s - call.arrival.at_s
+        second = int(call.arrival.at_s)
+        self._in_target[load.rank, second] += took_s <= load.target_s
         if _at_start(call.arrival.at_s):
             result.in_target_at_start += took_s <= load.target_s
         if _measured(call.arrival.at_s):
--- a/chicorychute/core/management/commands/bench.py
+++ b/chicorychute/core/management/commands/bench.py
@@ -70,10 +70,18 @@
             "--against", type=Path, metavar="FILE", help="figures of an earlier run"
         )
 
+        parser.add_argument(
+            "--plots",
+            type=Path,
+            metavar="DIR",
+            help="draw detection against false ejections, and the ranks in a flood",
+        )
+
     def handle(self, options: argparse.Namespace) -> int:
         """Measure, print and compare."""
         if options.seeds < 1:
             raise CommandError("--seeds must be 1 or more", EXIT_BAD_INPUT)
+        _check_plots(options)
         earlier = _earlier(options)
         parts = _parts(options)
         figures = _measure(parts, options)
@@ -83,11 +91,35 @@
         if options.json is not None:
             text = to_json(figures, chicorychute.VERSION, options.seeds)
             _write(options.json, text)
+        _draw(figures, options)
         broken = any(_is_broken(figure) for figure in figures)
         fallen = _print_comparison(figures, earlier, parts)
         return EXIT_FAILED if fallen or broken else EXIT_OK
 
 
+def _check_plots(options: argparse.Namespace) -> None:
+    from chicorychute.bench.plots import PlotsError, check_library
+
+    if options.plots is None:
+        return
+    try:
+        check_library()
+    except PlotsError as error:
+        raise CommandError(str(error), EXIT_BAD_INPUT) from error
+
+
+def _draw(figures: list[Figure], options: argparse.Namespace) -> None:
+    from chicorychute.bench.plots import PlotsError, draw
+
+    if options.plots is None:
+        return
+    try:
+        for path in draw(figures, options.plots):
+            print(f"drawn: {path}")
+    except PlotsError as error:
+        raise CommandError(str(error), EXIT_BAD_INPUT) from error
+
+
 def _is_broken(figure: Figure) -> bool:
     if figure.baseline or not figure.value:
         return False
--- /dev/null
+++ b/tests/bench/test_plots.py
@@ -0,0 +1,51 @@
+"""Plots are prepared without the library, and its absence names the remedy."""
+
+import pytest
+
+from chicorychute.bench import plots
+from chicorychute.bench.figures import Figure
+from chicorychute.core.management import main
+
+FIGURES = [
+    Figure("curve | sensitivity 1 | 10x slow", 2.0, "s"),
+    Figure("curve | sensitivity 1 | third fails", 2.1, "s"),
+    Figure("curve | sensitivity 1 | false ejections", 0.0, "per hour"),
+    Figure("curve | factor 4 | 10x slow", 0.4, "s", baseline="moving average"),
+    Figure("curve | factor 4 | false ejections", 130.0, "per hour", baseline="moving"),
+    Figure("detection | 10x slow | median", 2.0, "s"),
+]
+
+
+def test_missing_library_is_said_before_anything_is_measured(
+    monkeypatch, capsys, tmp_path
+):
+    monkeypatch.setattr(plots, "LIBRARY", "library_that_is_not_there")
+    arguments = ["bench", "--only", "memory", "--plots", str(tmp_path)]
+    assert main(arguments) == 2
+    said = capsys.readouterr()
+    assert "pip install -r requirements/plots.txt" in said.err
+    assert said.out == ""
+
+
+def test_points_pair_detection_with_false_ejections():
+    assert plots.points(FIGURES) == [
+        plots.Point("in force", "sensitivity 1", 2.0, 0.0),
+        plots.Point("moving average", "factor 4", 0.4, 130.0),
+    ]
+
+
+def test_timelines_show_the_ranks_before_and_in_the_flood():
+    found = plots.timelines()
+    in_force = [line for line in found if line.way == plots.IN_FORCE]
+    assert len(found) == 2 * len(in_force) == 8
+    for line in in_force:
+        before, settled = int(plots.ranks.FLOOD_START_S) - 1, -1
+        assert all(shares[before] == 1.0 for shares in line.shares_by_rank.values())
+        assert any(shares[settled] < 1.0 for shares in line.shares_by_rank.values())
+
+
+def test_plots_are_drawn_where_the_library_is_there(tmp_path):
+    pytest.importorskip(plots.LIBRARY)
+    drawn = plots.draw(FIGURES, tmp_path / "plots")
+    assert [path.name for path in drawn] == ["ranks.png", "detection.png"]
+    assert all(path.stat().st_size for path in drawn)
