--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,9 +14,12 @@
 import attrs
 import urllib3
 
+from standins.oneway import OneWayPaths
+
 START_TIMEOUT_S = 120.0  # a loaded machine takes long to start processes
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+SERVER_PORTS = range(12_000, 32_000)  # below those of outgoing connections
 ROOT = Path(__file__).resolve().parent.parent
 
 TABLE_HEADER = (
@@ -60,12 +64,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return ports that were free a moment ago, and that no connection takes.
+
+    The system picks the ports of outgoing connections from the range above, so that
+    a port from there may be taken again before its server listens.
+    """
+    ports = []
+    for port in random.sample(SERVER_PORTS, len(SERVER_PORTS)):
+        if _is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise FleetError(f"only {len(ports)} of {count} ports are free: stop some servers")
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 class Fleet:
@@ -83,6 +101,8 @@
         Further settings for every daemon.
     edge_threads : int
         Threads with which each daemon answers callers.
+    cuttable : bool
+        Whether `paths` can cut the peer links in one direction.
     """
 
     def __init__(
@@ -92,6 +112,7 @@
         service_ms: float = 10.0,
         extra_ini: str = "",
         edge_threads: int = 360,
+        cuttable: bool = False,
     ):
         self._service_ms = service_ms
         self._extra_ini = extra_ini
@@ -116,6 +137,8 @@
             )
             for number, (region, zone, service) in enumerate(places, start=1)
         ]
+        peer_ports = [node.peer_port for node in self.nodes]
+        self.paths = OneWayPaths(peer_ports) if cuttable else None
 
     def __enter__(self) -> "Fleet":
         try:
@@ -167,6 +190,8 @@
         for process in others:
             end(process, signal.SIGKILL)
             process.wait()
+        if self.paths:
+            self.paths.close()
         self.http.clear()
         self._directory.cleanup()
 
@@ -199,7 +224,11 @@
         """Write the settings of a node's daemon and start it."""
         path = self.path / f"{node.instance}.ini"
         path.write_text(self._ini(node), "utf-8")
-        node.daemon = self.spawn("chicorychute", "run", "-c", path)
+        command = ["chicorychute", "run", "-c", path]
+        if self.paths:
+            redirects = self.paths.redirects(node.peer_port)
+            command = ["standins.oneway", redirects, *command[1:]]
+        node.daemon = self.spawn(*command)
 
     def wait_ready(self, node: Node) -> None:
         """Wait until a daemon answers that it is ready."""
