--- a/bench/added.py
+++ b/bench/added.py
@@ -22,6 +22,8 @@
 CALLERS = 4
 WARM_UP_CALLS = 200
 TARGET_P99_MS = 1.2
+MICROSECONDS = 1e6
+PATH_BY_WAY = {"one hop": "/near", "two hops": "/far"}
 
 
 @attrs.frozen
@@ -49,10 +51,8 @@
     match way:
         case "direct":
             return far.upstream_url + "/far"
-        case "one hop":
-            return near.edge_url + "/near"
         case _:
-            return near.edge_url + "/far"
+            return near.edge_url + PATH_BY_WAY[way]
 
 
 def measure(fleet: Fleet, calls: int, rate: float, seed: int) -> list[Result]:
@@ -105,12 +105,52 @@
     return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
 
 
-def cost(fleet: Fleet, path: str, seconds: float) -> tuple[float, float]:
-    """Return calls a second and the daemons' processor time per call in µs."""
-    before_s = sum(cpu_s(node) for node in fleet.nodes)
+@attrs.frozen
+class Cost:
+    """What the daemons spend on the calls of one way.
+
+    Attributes
+    ----------
+    calls_per_s : float
+        Calls a second through one entry, by callers that never pause.
+    entry_us, gate_us : float
+        Processor time for a call of the entry's daemon and of the other one; over
+        one hop the other one only idles.
+    """
+
+    way: str
+    calls_per_s: float
+    entry_us: float
+    gate_us: float
+
+    @property
+    def total_us(self) -> float:
+        """Processor time of all daemons for a call."""
+        return self.entry_us + self.gate_us
+
+    @property
+    def calls_per_core(self) -> float:
+        """Calls a second for each core that the daemons have."""
+        return MICROSECONDS / self.total_us
+
+    def __str__(self) -> str:
+        return (
+            f"{self.way}: {self.calls_per_s:.0f} calls/s, {self.total_us:.0f} µs of "
+            f"daemons a call (entry {self.entry_us:.0f}, gate {self.gate_us:.0f}), "
+            f"{self.calls_per_core:.0f} calls/s for each core"
+        )
+
+
+def cost(fleet: Fleet, way: str, path: str, seconds: float) -> Cost:
+    """Measure the processor time of a call with callers that never pause."""
+    before_s = [cpu_s(node) for node in fleet.nodes]
     rate = saturate(fleet.nodes[0], path, seconds)
-    spent_s = sum(cpu_s(node) for node in fleet.nodes) - before_s
-    return rate, spent_s / (rate * seconds) * 1e6
+    calls = rate * seconds
+    entry_us, gate_us = (
+        (cpu_s(node) - start_s) / calls * MICROSECONDS
+        for node, start_s in zip(fleet.nodes, before_s, strict=True)
+    )
+    return Cost(way, rate, entry_us, gate_us)
 
 
 def _run_threads(threads: list[threading.Thread]) -> None:
@@ -156,10 +196,10 @@
         results = measure(fleet, options.calls, options.rate, options.seed)
         figures = _print_figures(results)
         if options.saturate_s:
-            for path in ("/near", "/far"):
-                rate, cpu_us = cost(fleet, path, options.saturate_s)
-                figures[path] = {"calls_per_s": rate, "cpu_us": cpu_us}
-                print(f"{path}: {rate:.0f} calls/s, {cpu_us:.0f} µs of daemons a call")
+            for way, path in PATH_BY_WAY.items():
+                spent = cost(fleet, way, path, options.saturate_s)
+                figures[way] |= attrs.asdict(spent)
+                print(spent)
     if options.json:
         with open(options.json, "w", encoding="utf-8") as file:
             json.dump(figures, file, indent=2)
