--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -243,7 +243,7 @@
 
     def __init__(self, server, sock: socket.socket, *args, **kwargs):
         super().__init__(server, sock, *args, **kwargs)
-        self.rfile = EdgeReader(sock, self.rbufsize)
+        self.rfile = EdgeReader(sock)
         self.wfile = EdgeWriter(sock)
 
     def reset(self) -> None:
--- a/chicorychute/transport/edge_streams.py
+++ b/chicorychute/transport/edge_streams.py
@@ -5,6 +5,8 @@
 import socket
 from collections.abc import Iterator
 
+READ_BUFFER_BYTES = 1 << 10  # of each connection, idle ones too; most heads fit
+
 
 class EdgeWriter:
     """Sends the head of an answer together with the first bytes of its body.
@@ -59,8 +61,8 @@
 class EdgeReader(io.BufferedReader):
     """Buffered reader in C, where the server library's own is in Python."""
 
-    def __init__(self, sock: socket.socket, size: int = io.DEFAULT_BUFFER_SIZE):
-        super().__init__(_Raw(sock, "rb"), size)
+    def __init__(self, sock: socket.socket):
+        super().__init__(_Raw(sock, "rb"), READ_BUFFER_BYTES)
         self.bytes_read = 0
 
     def has_data(self) -> bool:
