Give a request to the server thread that was busy last

Cause: the server's queue wakes the thread that has waited longest, so that 360 threads have a turn each, on memory that is cold by then. Change: the queue's condition wakes the thread that began to wait last.

--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -32,6 +32,7 @@
     ReadGuard,
     refusal_body,
 )
+from chicorychute.transport.idle import wake_last_idle
 from chicorychute.transport.upstream import HOP_BY_HOP
 
 OWN_HEADERS = frozenset(
@@ -267,6 +268,7 @@
         self._server = wsgi.Server(
             address, cherrypy.tree, numthreads=threads, request_queue_size=512
         )
+        wake_last_idle(self._server.requests._queue)
         self._server.max_request_header_size = max_header_bytes
         self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
         self._server.max_request_body_size = application.max_body_bytes
