--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -1,6 +1,7 @@
 """Callers' edge: a WSGI application grafted on CherryPy's tree."""
 
-import http
+import functools
+import http.client
 import re
 from collections.abc import Callable, Iterable
 
@@ -29,6 +30,7 @@
     EdgeRequest,
     refusal_body,
 )
+from chicorychute.transport.idle import wake_last_idle
 from chicorychute.transport.intake import TooLarge
 from chicorychute.transport.upstream import HOP_BY_HOP
 
@@ -41,6 +43,7 @@
 SILENCE_LIMIT_S = 10.0  # of a connection, within a request, answer or between
 HELD_BODIES = 4  # largest bodies that may be on their way in at least
 BODILESS_STATUSES = frozenset({204, 304})
+KEPT_NAMES = 256  # of headers; a caller may send any
 
 _is_duration = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?").fullmatch
 
@@ -120,10 +123,8 @@
         body = self._read_body(environ)
         headers = []
         for name, value in environ.items():
-            if name.startswith("HTTP_"):
-                plain = name[5:].replace("_", "-").lower()
-                if plain not in HOP_BY_HOP and plain not in OWN_HEADERS:
-                    headers.append((plain, value))
+            if name.startswith("HTTP_") and (passed := _passed_name(name)):
+                headers.append((passed, value))
         if environ.get("CONTENT_TYPE"):
             headers.append(("content-type", environ["CONTENT_TYPE"]))
         return Request(
@@ -193,6 +194,13 @@
         return body
 
 
+@functools.lru_cache(KEPT_NAMES)
+def _passed_name(name: str) -> str:
+    """Return the name under which a header is passed on, empty where it is not."""
+    plain = name[5:].replace("_", "-").lower()
+    return "" if plain in HOP_BY_HOP or plain in OWN_HEADERS else plain
+
+
 def _refusal_of(error: Exception, cut: Reason | None) -> Refused:
     if cut is not None:
         return Refused(Outcome.NOT_RUN, cut, CUT_DETAILS[cut])
@@ -218,10 +226,7 @@
 
 
 def _phrase(status: int) -> str:
-    try:
-        return http.HTTPStatus(status).phrase
-    except ValueError:
-        return "Status"
+    return http.client.responses.get(status, "Status")
 
 
 class EdgeServer:
@@ -246,6 +251,7 @@
             request_queue_size=512,
             timeout=silence_limit_s,
         )
+        wake_last_idle(self._server.requests._queue)
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = application.max_body_bytes
         self._server.ConnectionClass = EdgeConnection
