Take back the order in which server threads are woken

Cause: the change needs the private `_waiters` of the interpreter's `Condition` and the private queue of the server library, and either may go with any release. Ruled out: a public way to the same order; a `LifoQueue` would reverse the requests.

--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -30,7 +30,6 @@
     EdgeRequest,
     refusal_body,
 )
-from chicorychute.transport.idle import wake_last_idle
 from chicorychute.transport.intake import TooLarge
 from chicorychute.transport.upstream import HOP_BY_HOP
 
@@ -251,7 +250,6 @@
             request_queue_size=512,
             timeout=silence_limit_s,
         )
-        wake_last_idle(self._server.requests._queue)
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = application.max_body_bytes
         self._server.ConnectionClass = EdgeConnection
