--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -18,6 +18,7 @@
     AnswerHead,
     BodyChunk,
     Cancel,
+    DigestUpdate,
     Forward,
     Gossip,
     Hello,
@@ -381,6 +382,8 @@
             case Gossip():
                 self._fleet.on_gossip(link, message)
                 self._tables.on_gossip(link, message)
+            case DigestUpdate():
+                self._fleet.on_digests(message)
             case ProbeRequest():
                 self._fleet.on_probe_request(message)
             case TableAnnounce():
