--- /dev/null
+++ b/chicorychute/transport/edge_streams.py
@@ -0,0 +1,45 @@
+"""Stream that answers a caller with few calls of the system."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+
+class EdgeWriter:
+    """Sends the head of an answer together with the first bytes of its body.
+
+    Two sends would wake the caller twice, the first time for nothing.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._held = b""
+        self._holds = False
+        self.bytes_written = 0
+
+    @contextlib.contextmanager
+    def holding(self) -> Iterator[None]:
+        """Keep what is written until the next write or `flush`."""
+        self._holds = True
+        try:
+            yield
+        finally:
+            self._holds = False
+
+    def write(self, data: bytes) -> int:
+        """Send what is kept and `data`; the socket's time-out is for each part."""
+        if self._holds:
+            self._held += data
+            return len(data)
+        whole, self._held = self._held + data, b""
+        unsent = memoryview(whole)
+        while unsent:
+            count = self._sock.send(unsent)
+            self.bytes_written += count
+            unsent = unsent[count:]
+        return len(data)
+
+    def flush(self) -> None:
+        """Send what is kept."""
+        if self._held:
+            self.write(b"")
