--- a/chicorychute/transport/edge_streams.py
+++ b/chicorychute/transport/edge_streams.py
@@ -1,12 +1,9 @@
-"""Streams of a caller's connection, with few calls of the system for a request."""
+"""Stream that answers a caller with few calls of the system."""
 
 import contextlib
-import io
 import socket
 from collections.abc import Iterator
 
-READ_BUFFER_BYTES = 1 << 10  # of each connection, idle ones too; most heads fit
-
 
 class EdgeWriter:
     """Sends the head of an answer together with the first bytes of its body.
@@ -46,29 +43,3 @@
         """Send what is kept."""
         if self._held:
             self.write(b"")
-
-
-class _Raw(socket.SocketIO):
-    """Bytes of a socket; `empty` makes it say that none are there yet."""
-
-    empty = False
-
-    def readinto(self, buffer: memoryview) -> int | None:
-        """Read once into `buffer`."""
-        return None if self.empty else super().readinto(buffer)
-
-
-class EdgeReader(io.BufferedReader):
-    """Buffered reader in C, where the server library's own is in Python."""
-
-    def __init__(self, sock: socket.socket):
-        super().__init__(_Raw(sock, "rb"), READ_BUFFER_BYTES)
-        self.bytes_read = 0
-
-    def has_data(self) -> bool:
-        """Return whether bytes were read that nobody took yet."""
-        self.raw.empty = True
-        try:
-            return bool(self.peek(1))
-        finally:
-            self.raw.empty = False
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,7 +1,7 @@
 """Upstream stand-in: slots, service times and faults that can be set.
 
-``POST /control`` takes JSON with any of the fields of `Faults`; ``GET /counts``
-answers what ran. Every other request is work.
+``POST /control`` takes JSON with any of the fields of `Faults`, and counts the most
+that run at a time anew; ``GET /counts`` answers what ran. All else is work.
 """
 
 import argparse
@@ -10,13 +10,13 @@
 import random
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 
 import attrs
 from cheroot import wsgi
 
 SERVER_THREADS = 360
-MAX_BEGUN = 10_000  # requests whose order is kept
+ARRIVED_KEPT = 10_000  # paths of the last requests, in their order
 
 
 @attrs.define
@@ -34,7 +34,7 @@
     answer_bytes : int
         Length of the answer's body, 0 for a short JSON text.
     held : bool
-        Keeps every request waiting until it is set to False.
+        Whether requests wait until this is false again.
     """
 
     slow_factor: float = 1.0
@@ -64,7 +64,8 @@
         self._runs_by_key: Counter[str] = Counter()
         self._traceparents: set[str] = set()
         self._most_running = 0
-        self._begun: list[str] = []
+        self._sends = 0
+        self._arrived: deque[str] = deque(maxlen=ARRIVED_KEPT)
         self._released = threading.Event()
         self._released.set()
 
@@ -74,24 +75,26 @@
         body = environ["wsgi.input"].read(length) if length else b""
         path = environ["PATH_INFO"]
         if path == "/control":
-            self._set_faults(json.loads(body))
-            return self._json(start_response, "200 OK", {})
+            return self._control(json.loads(body), start_response)
         if path == "/counts":
             return self._json(start_response, "200 OK", self._snapshot())
         return self._work(environ, body, start_response)
 
-    def _set_faults(self, changes: dict) -> None:
-        self._faults = attrs.evolve(self._faults, **changes)
+    def _control(self, changes: dict, start_response):
+        with self._lock:
+            self._faults = attrs.evolve(self._faults, **changes)
+            self._most_running = self._running
         if self._faults.held:
             self._released.clear()
         else:
             self._released.set()
+        return self._json(start_response, "200 OK", {})
 
     def _work(self, environ, body: bytes, start_response):
         faults = self._faults
         with self._lock:
-            if len(self._begun) < MAX_BEGUN:
-                self._begun.append(environ["PATH_INFO"])
+            self._sends += 1
+            self._arrived.append(environ["PATH_INFO"])
             self._running += 1
             self._most_running = max(self._most_running, self._running)
             draw = self._rng.random()
@@ -100,11 +103,11 @@
             if parent and len(self._traceparents) < 1000:
                 self._traceparents.add(parent.split("-")[1])
         try:
-            self._released.wait()
             if faults.crash_marker.encode() in body:
                 os._exit(1)
             if draw < faults.hang_share:
                 time.sleep(3600)
+            self._released.wait()
             time.sleep(self._service_time_s(faults, jitter))
             if draw < faults.shed_share:
                 self._count("shed")
@@ -145,10 +148,12 @@
                 "upstream": self._name,
                 "counts": dict(self._counts),
                 "runs_by_key": dict(self._runs_by_key),
+                "sends": self._sends,
+                "arrived": list(self._arrived),
+                "running": self._running,
                 "most_running": self._most_running,
                 "slots": self._slots,
                 "trace_ids": sorted(self._traceparents),
-                "begun": list(self._begun),
             }
 
     def _json(self, start_response, status: str, value: dict):
--- a/tests/transport/test_edge_streams.py
+++ b/tests/transport/test_edge_streams.py
@@ -1,16 +1,8 @@
-"""A head goes out with its body, and no byte of a caller is lost or waited for."""
-
-import socket
+"""A head goes out with the first bytes of its body."""
 
 import pytest
 
-from chicorychute.transport.edge_streams import (
-    READ_BUFFER_BYTES,
-    EdgeReader,
-    EdgeWriter,
-)
-
-PATIENCE_S = 20.0
+from chicorychute.transport.edge_streams import EdgeWriter
 
 
 class StingySocket:
@@ -53,19 +45,3 @@
     writer = EdgeWriter(sock)
     writer.write(b"12345678")
     assert sock.sent == [b"123", b"456", b"78"]
-
-
-def test_reader_tells_what_is_left_and_does_not_wait_for_more():
-    caller, own = socket.socketpair()
-    with caller, own:
-        own.settimeout(PATIENCE_S)
-        reader = EdgeReader(own)
-        assert not reader.has_data()
-        caller.sendall(b"one\r\ntwo\r\n")
-        assert reader.readline() == b"one\r\n"
-        assert reader.has_data()
-        assert reader.readline() == b"two\r\n"
-        assert not reader.has_data()
-        caller.sendall(b"x" * READ_BUFFER_BYTES * 3)
-        assert reader.read(READ_BUFFER_BYTES * 3) == b"x" * READ_BUFFER_BYTES * 3
-        assert not reader.has_data()
