Read the counts and statuses of a test fleet again where a kept connection was closed

Cause: the servers close a connection that was idle for 10 s. Where the tests use it at that moment the read ends in "connection reset": the likely cause of one failure in 7 runs of test_leaving_reaches_all_past_a_one_way_cut. Ruled out: nothing more; the failing run can't be repeated. Change: `Fleet.status` and `Fleet.counts`, which only read, try up to twice more. Calls through the edge are still sent once. Measured: tests/processes/test_oneway.py and test_probes.py pass.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,8 @@
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 SERVER_PORTS = range(12_000, 32_000)  # below those of outgoing connections
+# A server may close a kept connection at the moment at which it is used again.
+REREAD = urllib3.Retry(total=2, connect=0, redirect=0, allowed_methods=["GET"])
 ROOT = Path(__file__).resolve().parent.parent
 
 TABLE_HEADER = (
@@ -120,6 +122,7 @@
         self._directory = tempfile.TemporaryDirectory(prefix="chute-fleet-")
         self.path = Path(self._directory.name)
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
+        self._watch = urllib3.PoolManager(maxsize=8, retries=REREAD)
         ports = free_ports(1 + 4 * len(places))
         self.platform_port = ports.pop()
         self.platform: subprocess.Popen | None = None
@@ -193,6 +196,7 @@
         if self.paths:
             self.paths.close()
         self.http.clear()
+        self._watch.clear()
         self._directory.cleanup()
 
     def spawn(self, module: str, *arguments: object) -> subprocess.Popen:
@@ -259,11 +263,11 @@
 
     def counts(self, node: Node) -> dict:
         """Return what a node's upstream ran."""
-        return self.http.request("GET", node.upstream_url + "/counts").json()
+        return self._watch.request("GET", node.upstream_url + "/counts").json()
 
     def status(self, node: Node) -> dict:
         """Return the status of a node's daemon."""
-        return self.http.request("GET", node.operator_url + "/status").json()
+        return self._watch.request("GET", node.operator_url + "/status").json()
 
     def wait_for(self, holds, what: str, timeout_s: float = START_TIMEOUT_S) -> float:
         """Poll until `holds()`; returns the seconds it took.
