Forget the kept candidates when a peer tells its digests

In a fleet above 64 daemons an ejection told by digests showed only with the next round of gossip. Ruled out: other places that change the view; each holds `_changing`. Change: `on_digests` changes the view as the others do. Measured: the new case of tests/services/test_fleet.py fails before, passes after.

--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -164,7 +164,7 @@
 
     def on_digests(self, update: DigestUpdate) -> None:
         """Take the digests that a peer tells of its own upstreams."""
-        with self._lock:
+        with self._changing():
             self._view.on_digests(update)
 
     def on_probe_request(self, request: ProbeRequest) -> None:
--- a/tests/services/test_fleet.py
+++ b/tests/services/test_fleet.py
@@ -7,6 +7,7 @@
 
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import (
+    DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
@@ -71,6 +72,9 @@
         fleet, record("peer", 1, verdict=Verdict.SICK)
     ),
     "load of a peer": lambda fleet, _: hear(fleet, record("peer", 1, in_flight=3)),
+    "digests of a peer": lambda fleet, _: fleet.on_digests(
+        DigestUpdate("peer", 1, 1, (digest("up-peer", Verdict.SICK),))
+    ),
     "peer leaves": lambda fleet, _: hear(
         fleet, record("peer", 1, MemberStatus.LEAVING)
     ),
