Tell a failed measurement of the added time by its cause in every case

Cause: where the program could not be started, the handler read the result of a run that never was, and ended in an UnboundLocalError. Ruled out: nothing more. Change: the run and the reading of its figures are two functions.

--- a/chicorychute/bench/added.py
+++ b/chicorychute/bench/added.py
@@ -44,21 +44,27 @@
         raise AddedError(f"added time needs the stand-ins: {REMEDY}")
     with tempfile.TemporaryDirectory(prefix="chute-bench-") as folder:
         path = Path(folder) / "added.json"
-        arguments = [sys.executable, "-m", PROGRAM, "--json", str(path)]
+        ended = _run(path)
         try:
-            ended = subprocess.run(
-                arguments, capture_output=True, text=True, timeout=TIMEOUT_S
-            )
             return read_added(path.read_text("utf-8"))
-        except subprocess.TimeoutExpired as error:
-            problem = f"{PROGRAM} did not end in {TIMEOUT_S} s"
-            raise AddedError(f"{problem}: run it alone to see why") from error
         except (OSError, ValueError, KeyError, TypeError) as error:
             last = (ended.stderr.strip() or "no message").splitlines()[-1]
             problem = f"{PROGRAM} gave no figures ({last})"
             raise AddedError(f"{problem}: run it alone to see why") from error
 
 
+def _run(path: Path) -> subprocess.CompletedProcess[str]:
+    """Run the program, which writes its figures to `path`."""
+    arguments = [sys.executable, "-m", PROGRAM, "--json", str(path)]
+    try:
+        return subprocess.run(
+            arguments, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+    except subprocess.TimeoutExpired as error:
+        problem = f"{PROGRAM} did not end in {TIMEOUT_S} s"
+        raise AddedError(f"{problem}: run it alone to see why") from error
+
+
 def read_added(text: str) -> list[Figure]:
     """Return the figures of the JSON that the program writes."""
     figure_by_way = json.loads(text)
