Probe an idle upstream again at once after one failed probe

Cause: with fewer than 20 probe answers known of its peers one failed probe raises the suspicion to 0.099, just under the level of 0.1 from which probes follow each other in 0.2 s; the second came 5 s later, and the upstream was out after 12 s. Ruled out: load of the machine (11.6 s with little else running) and lost ticks. Change: the level is 0.05.

--- a/chicorychute/health/judge.py
+++ b/chicorychute/health/judge.py
@@ -28,7 +28,9 @@
 COMMON_SHARE = 0.5  # of the peers; above it the cause is common
 COMMON_HOLD_S = 5.0  # until the peers' digests show the common change in full
 DOUBT_FACTOR = 0.5  # of the threshold while an upstream returns
-DOUBT_LEVEL = 0.1  # suspicion that an idle upstream is probed for
+DOUBT_LEVEL = (
+    0.05  # suspicion that an idle upstream is probed for; one failure suffices
+)
 PROBE_THRESHOLD = 5.0
 PROBE_GOOD_RESULTS = 5
 PAUSE_S = 1.0  # silence of `tick` that means the daemon itself stood still
--- a/tests/health/test_judge.py
+++ b/tests/health/test_judge.py
@@ -1,5 +1,6 @@
 """Verdicts of one judge, event by event."""
 
+import attrs
 import pytest
 
 from chicorychute.core.clock import ManualClock
@@ -138,7 +139,10 @@
     assert judge.verdict() is Verdict.PROBING
 
 
-def test_failing_probe_of_an_idle_upstream_ejects(judge, clock):
+@pytest.mark.parametrize("known", [0, 10, 50])
+def test_failing_probe_of_an_idle_upstream_ejects(judge, clock, known):
+    probes = (RankDigest(PROBE_RANK, known, 5.0, 8.0, 0.0, 0.0, 0.0),)
+    judge.take_peers(attrs.evolve(peer(name), ranks=probes) for name in "bcd")
     due_s = None
     while judge.verdict() is Verdict.HEALTHY and clock.monotonic() < 60:
         wait(judge, clock, TICK_S)
