--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -58,12 +58,14 @@
 from chicorychute.telemetry.instruments import Instruments
 from chicorychute.telemetry.prometheus import render
 from chicorychute.telemetry.tracing import PassThroughTracing, Tracing
+from chicorychute.transport.callers import CallerWatch
 from chicorychute.transport.edge import EdgeApplication, EdgeServer
 from chicorychute.transport.links import Link, LinkHub
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
 NOTICE_REPAIR_S = 2.0
+CALLER_TICK_S = 0.1
 PLATFORM_TICK_S = 0.5
 
 logger = structlog.get_logger()
@@ -172,6 +174,7 @@
             entry.handle,
         )
         self._peers = PeerService(self._gate, clock, handle, self._tables.table)
+        self._callers = CallerWatch()
         application = EdgeApplication(
             handle,
             home.home,
@@ -179,6 +182,7 @@
             get("edge", "max_body_bytes"),
             leaving.serving,
             lambda reason: telemetry.edge_refusals.add(reason.value),
+            self._callers,
         )
         self._edge = EdgeServer(
             application,
@@ -216,6 +220,7 @@
         gossip_s = get("gossip", "interval_s").total_seconds()
         tickers = [
             Ticker("gate", QUEUE_TICK_S, self._gate.tick),
+            Ticker("callers", CALLER_TICK_S, self._callers.poll),
             Ticker("gossip", gossip_s, self._gossip),
             Ticker("notices", NOTICE_REPAIR_S, self._repair_notices),
         ]
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -1,5 +1,6 @@
 """Entry of a request: chooses a gate, sends, and tries another where it may."""
 
+import contextlib
 import queue
 import random
 import threading
@@ -9,14 +10,19 @@
 from chicorychute.admission.queue import Decision, Granted
 from chicorychute.admission.queue import Refused as QueueRefused
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import Forward, Relay, Work
+from chicorychute.core.messages import Cancel, Forward, Relay, Work
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.orders.token import OrderKey
 from chicorychute.pipeline.values import Answer, Refused, Reply, Request
 from chicorychute.routing.budget import RetryBudget
 from chicorychute.routing.candidates import Candidate, Distance, eligible
 from chicorychute.routing.choice import choose
-from chicorychute.services.exchanges import CHUNK_BYTES, Exchanges, send_body_rest
+from chicorychute.services.exchanges import (
+    CHUNK_BYTES,
+    Exchange,
+    Exchanges,
+    send_body_rest,
+)
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
 from chicorychute.table.rows import Repeat
@@ -75,7 +81,7 @@
             request.attempt += 1
             reply = self._send(request, candidate)
             tried |= {candidate.digest.upstream}
-            if not _may_retry(reply, row.repeat):
+            if request.scope.cancelled or not _may_retry(reply, row.repeat):
                 return reply
             if self._clock.monotonic() >= request.deadline_s:
                 return reply
@@ -138,7 +144,8 @@
         call = UpstreamCall()
         ticket = self._gate.ticket(upstream, work, request.body, request.deadline_s)
         self._gate.submit(upstream, ticket, decisions.put)
-        request.scope.bind(lambda: self._gate.cancel(upstream, ticket, call))
+        if request.row.repeat is Repeat.IDEMPOTENT:
+            request.scope.bind(lambda: self._gate.cancel(upstream, ticket, call))
         match decisions.get():
             case Granted():
                 return self._gate.run(upstream, ticket, work, request.body, call)
@@ -168,6 +175,8 @@
         except LinkError as error:
             self._exchanges.close(exchange)
             return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, str(error))
+        if request.row.repeat is Repeat.IDEMPOTENT:
+            request.scope.bind(lambda: _cancel(exchange))
         return self._exchanges.wait(exchange, request.deadline_s, upstream)
 
     def _work(self, request: Request) -> Work:
@@ -185,6 +194,11 @@
         )
 
 
+def _cancel(exchange: Exchange) -> None:
+    with contextlib.suppress(LinkError):
+        exchange.link.send(Cancel(exchange.id))
+
+
 def _discard(reply: Reply) -> None:
     if isinstance(reply, Answer):
         reply.chunks.close()
--- /dev/null
+++ b/chicorychute/transport/callers.py
@@ -0,0 +1,45 @@
+"""Notices callers that close their connection before they are answered."""
+
+import contextlib
+import select
+import socket
+import threading
+from collections.abc import Iterator
+
+from chicorychute.pipeline.cancel import CancelScope
+
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class CallerWatch:
+    """Cancels the requests of callers that are gone; `poll` looks for them."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._scope_by_fd: dict[int, CancelScope] = {}
+
+    @contextlib.contextmanager
+    def watching(self, sock: socket.socket, scope: CancelScope) -> Iterator[None]:
+        """Watch a caller's connection while its request is handled."""
+        fd = sock.fileno()
+        with self._lock:
+            self._scope_by_fd[fd] = scope
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._scope_by_fd.pop(fd, None)
+
+    def poll(self) -> None:
+        """Cancel the request of each caller that is gone."""
+        poller = select.poll()
+        with self._lock:
+            watched = dict(self._scope_by_fd)
+        for fd in watched:
+            poller.register(fd, GONE)
+        for fd, _ in poller.poll(0):
+            with self._lock:
+                if self._scope_by_fd.get(fd) is not watched[fd]:
+                    continue
+                del self._scope_by_fd[fd]
+            watched[fd].cancel()
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -21,6 +21,7 @@
     Refused,
     Request,
 )
+from chicorychute.transport.callers import CallerWatch
 from chicorychute.transport.edge_request import (
     EdgeConnection,
     EdgeGateway,
@@ -67,6 +68,8 @@
         callers to close their connections.
     on_refusal : callable, optional
         Told the reason of each request that does not reach the pipeline.
+    callers : CallerWatch, optional
+        Cancels the requests of callers that are gone.
     """
 
     def __init__(
@@ -77,8 +80,10 @@
         max_body_bytes: int,
         serving: Callable[[], bool] = lambda: True,
         on_refusal: Callable[[Reason], None] = _ignore,
+        callers: CallerWatch | None = None,
     ):
         self._serving = serving
+        self._callers = CallerWatch() if callers is None else callers
         self._handle = handle
         self._home = home
         self.clock = clock
@@ -98,7 +103,8 @@
             return self._refuse(refused, environ, start_response)
         exchange.finish_reading()
         try:
-            reply = self._handle(request)
+            with self._callers.watching(exchange.conn.socket, request.scope):
+                reply = self._handle(request)
         except Exception:
             logger.exception("edge: a request failed inside the daemon")
             reply = Refused(Outcome.UNKNOWN, Reason.INTERNAL)
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -1,5 +1,6 @@
 """Slots, deadlines, cancels and crashing requests in real processes."""
 
+import socket
 import threading
 from collections import Counter
 
@@ -56,6 +57,10 @@
     return outcomes
 
 
+def upstream_of(fleet, node):
+    return fleet.status(node)["upstreams"][0]
+
+
 def most_running(fleet):
     return max(fleet.counts(node)["most_running"] for node in fleet.nodes)
 
@@ -75,6 +80,26 @@
         assert most_running(fleet) <= MORE_SLOTS
 
 
+@pytest.mark.parametrize("entry", [0, 1])
+def test_request_whose_caller_hangs_up_while_it_waits_is_not_run(entry):
+    places = [("r", "a", "s"), ("r", "a", "other")]
+    other = "other,o,GET /other,1,0.5,500,10000,idempotent,0.5,1,0.5,1,0,1000\n"
+    with Fleet(places, make_table(1) + other, service_ms=3000) as fleet:
+        gate, node = fleet.nodes[0], fleet.nodes[entry]
+        runs = threading.Thread(target=send, args=(gate, "/work/1"))
+        runs.start()
+        fleet.wait_for(lambda: upstream_of(fleet, gate)["in_flight"], "a run")
+        caller = socket.create_connection(("127.0.0.1", node.edge_port))
+        head = b"POST /work/2 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        caller.sendall(head)
+        fleet.wait_for(lambda: upstream_of(fleet, gate)["queued"], "a queue")
+        caller.close()
+        fleet.wait_for(lambda: not upstream_of(fleet, gate)["queued"], "no queue")
+        runs.join()
+        fleet.wait_for(lambda: not upstream_of(fleet, gate)["in_flight"], "the end")
+        assert fleet.counts(gate)["counts"] == {"ran": 1}
+
+
 def test_request_that_crashes_upstreams_takes_two_and_no_innocent_with_it():
     with Fleet(PLACES, make_table(4), service_ms=200) as fleet:
 
