--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -152,6 +152,14 @@
     detail: str
 
 
+@attrs.frozen
+class RankWait:
+    """Wait that a gate predicts for a request of one rank that came now."""
+
+    rank: str
+    wait_ms: float
+
+
 @attrs.frozen
 class RankDigest:
     """Recent results of one rank of work at an upstream.
@@ -191,6 +199,8 @@
         Evidence against the upstream as a share of what ejects it, 0 to 1.
     ranks : tuple of RankDigest
         Recent results that peers of the service compare themselves with.
+    waits : tuple of RankWait
+        Wait predicted for each rank, by which entries compare gates.
     """
 
     upstream: str
@@ -206,6 +216,7 @@
     ranks: tuple[RankDigest, ...] = attrs.field(
         default=(), metadata={"item": RankDigest}
     )
+    waits: tuple[RankWait, ...] = attrs.field(default=(), metadata={"item": RankWait})
 
 
 @attrs.frozen
@@ -285,11 +296,26 @@
 
 @attrs.frozen
 class QuarantineNotice:
-    """Spreads the fingerprint of a request that crashed an upstream."""
+    """Spreads the fingerprint of a request in flight at a crash.
+
+    Attributes
+    ----------
+    remaining_s : float
+        Time for which the crash still counts.
+    instance : str
+        Instance whose upstream crashed.
+    crash : str
+        Names the crash in the whole fleet.
+    sole : bool
+        Whether no other request was in flight.
+    """
 
     fingerprint: str
     upstream: str
     remaining_s: float
+    instance: str = ""
+    crash: str = ""
+    sole: bool = False
 
 
 Message = (
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from chicorychute.admission.quarantine import Quarantine
 from chicorychute.conf.settings import Settings
 from chicorychute.core.messages import (
     PROTOCOL_VERSION,
@@ -24,6 +25,7 @@
     MemberStatus,
     Message,
     ProbeRequest,
+    QuarantineNotice,
     Refusal,
     Relay,
     TableAnnounce,
@@ -46,8 +48,10 @@
 from chicorychute.services.exchanges import Exchanges
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
+from chicorychute.services.notices import NoticeService
 from chicorychute.services.peers import PeerService
 from chicorychute.services.recorder import NoRecorder, Recorder
+from chicorychute.services.seats import ServerSeats
 from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
 from chicorychute.services.tables import TableService
@@ -57,11 +61,14 @@
 from chicorychute.telemetry.instruments import Instruments
 from chicorychute.telemetry.prometheus import render
 from chicorychute.telemetry.tracing import PassThroughTracing, Tracing
+from chicorychute.transport.callers import CallerWatch
 from chicorychute.transport.edge import EdgeApplication, EdgeServer
 from chicorychute.transport.links import Link, LinkHub
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
 QUEUE_TICK_S = 0.05
+NOTICE_REPAIR_S = 2.0
+CALLER_TICK_S = 0.1
 PROBE_TICK_S = 0.1
 PLATFORM_TICK_S = 0.5
 EXIT_CUT = 1  # requests were cut at shutdown
@@ -145,11 +152,14 @@
             self._rng,
             self._on_listed_leaving,
         )
+        self._notices = NoticeService(self._fleet, hub, self._rng)
         self._gate = GateService(
             self._settings.upstreams,
             clock,
             tracing,
             self._fleet.peer_digests,
+            Quarantine(instance, incarnation, clock),
+            self._notices.tell,
             self._recorder,
         )
         self._tables = TableService(
@@ -171,19 +181,22 @@
         )
         ledger = OrderLedger(instance, incarnation, clock)
         home = OrderHome(ledger, entry.relay)
+        self._seats = ServerSeats(get("edge", "threads"))
         handle = chain(
             [
                 leaving.count,
                 filters.trace(tracing, "entry"),
                 measure(telemetry.requests, clock),
                 filters.route(self._tables.routes),
+                self._seats.filter,
                 leaving.refuse,
                 filters.deadline(clock),
                 home.filter,
             ],
             entry.handle,
         )
-        self._peers = PeerService(self._gate, clock, handle)
+        self._peers = PeerService(self._gate, clock, handle, self._tables.table)
+        self._callers = CallerWatch()
         application = EdgeApplication(
             handle,
             home.home,
@@ -191,6 +204,7 @@
             get("edge", "max_body_bytes"),
             leaving.serving,
             lambda reason: telemetry.edge_refusals.add(reason.value),
+            self._callers,
         )
         self._edge = EdgeServer(
             application,
@@ -228,8 +242,10 @@
         gossip_s = get("gossip", "interval_s").total_seconds()
         tickers = [
             Ticker("gate", QUEUE_TICK_S, self._gate.tick),
+            Ticker("callers", CALLER_TICK_S, self._callers.poll),
             Ticker("probe", PROBE_TICK_S, self._gate.probe),
             Ticker("gossip", gossip_s, self._gossip),
+            Ticker("notices", NOTICE_REPAIR_S, self._repair_notices),
         ]
         if platform is not None:
             tickers.append(Ticker("list", PLATFORM_TICK_S, self._fleet.read_list))
@@ -284,12 +300,17 @@
         self._fleet.publish(self._tables.version, digests, self._tables.hash)
         self._fleet.gossip()
 
+    def _repair_notices(self) -> None:
+        self._notices.repair(self._gate.notices())
+
     def _watch(self) -> None:
         if not self._stop_asked.is_set():
             self._tables.watch()
 
     def _on_table(self, table: Table) -> None:
         self._gate.apply(table)
+        self._seats.apply(table)
+        self._peers.apply(table)
         self._telemetry.table.note(table.version)
 
     def _why_not_ready(self) -> str:
@@ -320,6 +341,8 @@
                 self._tables.on_request(link, message)
             case TableUpdate():
                 self._tables.on_update(link, message)
+            case QuarantineNotice():
+                self._gate.on_notice(message)
 
     def _on_closed(self, link: Link) -> None:
         self._exchanges.on_closed(link)
--- a/chicorychute/replay/trace.py
+++ b/chicorychute/replay/trace.py
@@ -128,6 +128,9 @@
     event: Event
 
 
+# Fields of a digest before its ranks; a trace has no use for the waits after them.
+PLAIN_FIELDS = [field.name for field in attrs.fields(UpstreamDigest)].index("ranks")
+
 CLASS_BY_KIND: dict[str, type] = {
     "start": Start,
     "table": TableEvent,
@@ -234,7 +237,7 @@
 def _pack_digest(digest: UpstreamDigest) -> list[Any]:
     ranks = [[_plain(v) for v in attrs.astuple(rank)] for rank in digest.ranks]
     values = attrs.astuple(digest, recurse=False)
-    return [*(_plain(value) for value in values[:-1]), ranks]
+    return [*(_plain(value) for value in values[:PLAIN_FIELDS]), ranks]
 
 
 def _unpack_digest(values: list[Any]) -> UpstreamDigest:
@@ -242,7 +245,7 @@
     names = [field.name for field in attrs.fields(UpstreamDigest)]
     typed = [
         _typed(UpstreamDigest, name, value)
-        for name, value in zip(names[:-1], plain, strict=True)
+        for name, value in zip(names[:PLAIN_FIELDS], plain, strict=True)
     ]
     return UpstreamDigest(*typed, tuple(_unpack_rank(rank) for rank in ranks))
 
--- /dev/null
+++ b/chicorychute/services/bodies.py
@@ -0,0 +1,82 @@
+"""Bodies of upstreams' answers, and the results that their ends stand for."""
+
+from collections.abc import Callable, Iterator
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.outcomes import Reason
+from chicorychute.health.evidence import Result
+from chicorychute.pipeline.values import AnswerBroken
+from chicorychute.transport.calls import UpstreamCall
+from chicorychute.transport.upstream import UpstreamAnswer, UpstreamFailure
+
+SERVER_ERROR = 500
+SERVICE_UNAVAILABLE = 503
+
+
+class AnswerBody:
+    """Body of an answer; reports its result once, at its end or on `close`.
+
+    The latency reported is the time spent waiting for the upstream; the time that
+    the reader of the body takes is not the upstream's.
+    """
+
+    def __init__(
+        self,
+        answer: UpstreamAnswer,
+        call: UpstreamCall,
+        clock: Clock,
+        head_s: float,
+        finish: Callable[[Result, float, int], None],
+    ):
+        self._answer = answer
+        self._call = call
+        self._clock = clock
+        self._waited_s = head_s
+        self._size = 0
+        self._finish = finish
+        self._finished = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        asked_s = self._clock.monotonic()
+        try:
+            chunk = next(self._answer.chunks)
+        except StopIteration:
+            self._waited_s += self._clock.monotonic() - asked_s
+            self._end(result_of(self._answer.status))
+            raise
+        except UpstreamFailure as failure:
+            self._waited_s += self._clock.monotonic() - asked_s
+            self._end(result_of_failure(failure, self._call))
+            raise AnswerBroken(failure.detail) from failure
+        self._waited_s += self._clock.monotonic() - asked_s
+        self._size += len(chunk)
+        return chunk
+
+    def close(self) -> None:
+        """Give the rest up; the connection to the upstream is closed."""
+        if not self._finished:
+            self._answer.close()
+            self._end(Result.CANCELLED)
+
+    def _end(self, result: Result) -> None:
+        if not self._finished:
+            self._finished = True
+            self._finish(result, self._waited_s, self._size)
+
+
+def result_of(status: int) -> Result:
+    """Return how a request ended that got a whole answer of this status."""
+    if status == SERVICE_UNAVAILABLE:
+        return Result.SHED
+    return Result.FAILED if status >= SERVER_ERROR else Result.OK
+
+
+def result_of_failure(failure: UpstreamFailure, call: UpstreamCall) -> Result:
+    """Return TIMED_OUT where the request's own deadline ended it."""
+    if call.cancelled and failure.reason is not Reason.DEADLINE:
+        return Result.CANCELLED
+    timed_out = failure.reason is Reason.DEADLINE
+    return Result.TIMED_OUT if timed_out else Result.FAILED
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -1,41 +1,37 @@
 """Gate of the upstreams beside the daemon: the only way to them."""
 
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 import attrs
 
+from chicorychute.admission.quarantine import Quarantine, fingerprint
 from chicorychute.admission.queue import (
     Decision,
     Queued,
-    RankPolicy,
     Ticket,
-    UpstreamQueue,
 )
 from chicorychute.admission.queue import (
     Refused as QueueRefused,
 )
 from chicorychute.conf.settings import UpstreamSettings
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import UpstreamDigest, Work
+from chicorychute.core.messages import QuarantineNotice, UpstreamDigest, Work
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
-from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.pipeline.values import Answer, Refused, Reply
+from chicorychute.services.bodies import AnswerBody, result_of, result_of_failure
 from chicorychute.services.recorder import NoRecorder
+from chicorychute.services.slots import UpstreamSlots
 from chicorychute.services.workers import WorkerPool
-from chicorychute.table.rows import Row, Table
+from chicorychute.table.rows import Table
 from chicorychute.telemetry.tracing import Tracing
-from chicorychute.transport.upstream import (
-    UpstreamAnswer,
-    UpstreamClient,
-    UpstreamFailure,
-)
+from chicorychute.transport.calls import UpstreamCall, is_listening, tracked
+from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
 
 POOL_THREADS = 256
-SERVER_ERROR = 500
-SERVICE_UNAVAILABLE = 503
 BODY_STATUSES = frozenset((200, 201, 203, 206))  # answers that should have a body
 
 Starter = Callable[[Decision], None]
@@ -44,9 +40,10 @@
 @attrs.define
 class _Upstream:
     settings: UpstreamSettings
-    queue: UpstreamQueue
+    slots: UpstreamSlots
     judge: UpstreamJudge
     client: UpstreamClient
+    telling: threading.Lock = attrs.field(factory=threading.Lock)
 
 
 class GateService:
@@ -56,6 +53,10 @@
     ----------
     peer_digests : callable
         Returns the digests of a service's upstreams elsewhere.
+    quarantine : Quarantine
+        Requests that crashed upstreams.
+    tell : callable
+        Sends notices of crashes to every peer.
     """
 
     def __init__(
@@ -64,11 +65,15 @@
         clock: Clock,
         tracing: Tracing,
         peer_digests: Callable[[str], list[UpstreamDigest]],
+        quarantine: Quarantine,
+        tell: Callable[[tuple[QuarantineNotice, ...]], None],
         recorder: NoRecorder | None = None,
     ):
         self._clock = clock
         self._tracing = tracing
         self._peer_digests = peer_digests
+        self._quarantine = quarantine
+        self._tell = tell
         self._recorder = recorder or NoRecorder()
         self._lock = threading.Lock()
         self._starter_by_ticket: dict[Ticket, Starter] = {}
@@ -76,7 +81,7 @@
         self._upstream_by_id = {
             settings.id: _Upstream(
                 settings,
-                UpstreamQueue(0, (), clock),
+                UpstreamSlots(settings.id, clock, quarantine),
                 UpstreamJudge(clock, cold=True),
                 UpstreamClient(settings.url, POOL_THREADS),
             )
@@ -89,9 +94,7 @@
         with self._lock:
             for upstream in self._upstream_by_id.values():
                 rows = table.by_service.get(upstream.settings.service, ())
-                upstream.queue.configure(
-                    max((row.slots for row in rows), default=0), _policies(rows)
-                )
+                upstream.slots.configure(rows)
                 upstream.judge.sensitivity = max(
                     (row.sensitivity for row in rows), default=1.0
                 )
@@ -105,14 +108,15 @@
                     upstream.settings.id,
                     upstream.settings.service,
                     upstream.judge.verdict(),
-                    upstream.queue.slots,
-                    upstream.queue.in_flight,
-                    upstream.queue.queued,
+                    upstream.slots.slots,
+                    upstream.slots.in_flight,
+                    upstream.slots.queued,
                     upstream.judge.latency_s * 1000,
                     upstream.judge.failure_share,
-                    upstream.judge.weight,
+                    min(upstream.judge.weight, upstream.slots.weight),
                     upstream.judge.suspicion,
                     upstream.judge.rank_digests(),
+                    upstream.slots.waits(),
                 )
                 for upstream in self._upstream_by_id.values()
             )
@@ -124,22 +128,30 @@
     def idle(self) -> bool:
         """Return whether no request runs or waits."""
         with self._lock:
-            return all(
-                u.queue.in_flight + u.queue.queued == 0
-                for u in self._upstream_by_id.values()
-            )
+            return not any(u.slots.busy for u in self._upstream_by_id.values())
 
     def tick(self) -> None:
-        """Drop requests past their deadline, and judge those that run long."""
+        """Drop and cancel late requests, and judge those that run long."""
         for upstream in self._upstream_by_id.values():
             with self._lock:
                 upstream.judge.tick()
                 verdict = upstream.judge.verdict()
-                decisions = upstream.queue.advance()
+                decisions = upstream.slots.advance()
             id = upstream.settings.id
             self._recorder.verdict(id, verdict, upstream.judge.reason)
             self._deliver(id, decisions)
 
+    def ticket(
+        self, upstream_id: str, work: Work, body: bytes, deadline_s: float
+    ) -> Ticket:
+        """Return the ticket with which a request asks for a slot."""
+        upstream = self._upstream_by_id.get(upstream_id)
+        if upstream is None:
+            return Ticket(work.rank, deadline_s, work.team)
+        mark = fingerprint(work.service, work.method, work.target, body)
+        with self._lock:
+            return upstream.slots.ticket(work.rank, deadline_s, work.team, mark)
+
     def submit(self, upstream_id: str, ticket: Ticket, starter: Starter) -> None:
         """Ask for a slot; `starter` is called once with the decision, maybe later."""
         upstream = self._upstream_by_id.get(upstream_id)
@@ -148,70 +160,119 @@
             return
         self._recorder.arrived(upstream_id, ticket.rank, ticket.deadline_s)
         with self._lock:
-            decision = upstream.queue.submit(ticket)
+            decision = upstream.slots.submit(ticket)
             if isinstance(decision, Queued):
                 self._starter_by_ticket[ticket] = starter
                 return
         self._record_refusal(upstream_id, decision)
         starter(decision)
 
-    def cancel(self, upstream_id: str, ticket: Ticket) -> bool:
-        """Withdraw a waiting request; returns False if it no longer waits."""
+    def cancel(self, upstream_id: str, ticket: Ticket, call: UpstreamCall) -> None:
+        """Withdraw a request: it is refused if it waits, else its send is cut."""
+        upstream = self._upstream_by_id.get(upstream_id)
+        if upstream is None:
+            return
         with self._lock:
-            cancelled = self._upstream_by_id[upstream_id].queue.cancel(ticket)
-            if cancelled:
-                del self._starter_by_ticket[ticket]
-        if cancelled:
-            self._recorder.refused(upstream_id, ticket.rank, ticket.deadline_s)
-        return cancelled
+            waited = upstream.slots.cancel(ticket)
+            starter = self._starter_by_ticket.pop(ticket) if waited else None
+        if starter is None:
+            call.cancel()
+        else:
+            refused = QueueRefused(ticket, Reason.CANCELLED)
+            self._record_refusal(upstream_id, refused)
+            starter(refused)
+
+    def on_notice(self, notice: QuarantineNotice) -> None:
+        """Take a crash seen at a peer."""
+        with self._lock:
+            self._quarantine.on_notice(notice)
+
+    def notices(self) -> tuple[QuarantineNotice, ...]:
+        """Return every crash that still counts."""
+        with self._lock:
+            return self._quarantine.notices()
 
     def in_pool(self, run: Callable[[], None]) -> None:
         """Run a granted request on a thread of the gate."""
         self._pool.submit(run)
 
     def run(
-        self, upstream_id: str, work: Work, body: bytes, deadline_s: float
+        self,
+        upstream_id: str,
+        ticket: Ticket,
+        work: Work,
+        body: bytes,
+        call: UpstreamCall,
     ) -> Reply:
         """Send a granted request to its upstream and release its slot at the end."""
         upstream = self._upstream_by_id[upstream_id]
+        refusal = self._start(upstream, ticket, call)
+        if refusal is not None:
+            return Refused(Outcome.NOT_RUN, refusal)
         started_s = self._clock.monotonic()
-        timeout_s = deadline_s - started_s
         with self._lock:
             attempt = upstream.judge.begin(work.rank)
-        if timeout_s <= 0:
-            unused = Observation(work.rank, Result.CANCELLED, 0.0)
-            self._finish(upstream, attempt, unused, deadline_s)
-            return Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         with self._tracing.span("upstream", work.traceparent) as traceparent:
             work = attrs.evolve(work, traceparent=traceparent)
             try:
-                answer = upstream.client.send(work, body, timeout_s)
+                with tracked(call):
+                    answer = upstream.client.send(
+                        work, body, ticket.deadline_s - started_s
+                    )
             except UpstreamFailure as failure:
                 latency_s = self._clock.monotonic() - started_s
-                result = _result_of_failure(failure)
+                self._note_failure(upstream, ticket, call, failure)
+                result = result_of_failure(failure, call)
                 observation = Observation(work.rank, result, latency_s)
-                self._finish(upstream, attempt, observation, deadline_s)
-                return Refused(failure.outcome, failure.reason, failure.detail)
+                self._finish(upstream, ticket, attempt, observation)
+                return _refusal_of(failure, call)
         with self._lock:
             upstream.judge.answered(attempt)
+        head_s = self._clock.monotonic() - started_s
         may_be_empty = work.method == "HEAD" or answer.status not in BODY_STATUSES
-        body = _AnswerBody(
-            answer,
-            self._clock,
-            self._clock.monotonic() - started_s,
-            lambda result, latency_s, size: self._finish(
-                upstream,
-                attempt,
-                Observation(
-                    work.rank,
-                    result,
-                    latency_s,
-                    BYTES_UNKNOWN if may_be_empty else size,
-                ),
-                deadline_s,
-            ),
-        )
-        return Answer(answer.status, answer.headers, answer.length, body, upstream_id)
+
+        def finish(result: Result, latency_s: float, size: int) -> None:
+            seen = BYTES_UNKNOWN if may_be_empty else size
+            observation = Observation(work.rank, result, latency_s, seen)
+            self._finish(upstream, ticket, attempt, observation, head_s)
+
+        chunks = AnswerBody(answer, call, self._clock, head_s, finish)
+        return Answer(answer.status, answer.headers, answer.length, chunks, upstream_id)
+
+    def _start(
+        self, upstream: _Upstream, ticket: Ticket, call: UpstreamCall
+    ) -> Reason | None:
+        """Return why a granted request may not be sent any more, if so."""
+        with self._lock:
+            refusal = upstream.slots.start(ticket, call)
+            decisions = [] if refusal is None else upstream.slots.drop(ticket)
+        if refusal is not None:
+            id = upstream.settings.id
+            self._recorder.refused(id, ticket.rank, ticket.deadline_s)
+            self._deliver(id, decisions)
+        return refusal
+
+    def _note_failure(
+        self,
+        upstream: _Upstream,
+        ticket: Ticket,
+        call: UpstreamCall,
+        failure: UpstreamFailure,
+    ) -> None:
+        """Tell the fleet of a crash before its caller can send the request again."""
+        if failure.reason is Reason.UPSTREAM_REFUSED:
+            with self._lock:
+                upstream.slots.refused()
+            return
+        lost = failure.reason is Reason.UPSTREAM_LOST and not call.cancelled
+        if not lost or is_listening(upstream.settings.url):
+            return
+        # Every request of one crash waits until the first has told the fleet.
+        with upstream.telling:
+            with self._lock:
+                notices = upstream.slots.crashed(ticket)
+            if notices:
+                self._tell(notices)
 
     def probe(self) -> None:
         """Ask each upstream whose health no request shows for its probe path."""
@@ -231,7 +292,7 @@
             answer = upstream.client.send(work, b"", PROBE_TIMEOUT_S)
             for _ in answer.chunks:
                 pass
-            result = _result_of(answer.status)
+            result = result_of(answer.status)
         except UpstreamFailure:
             pass
         latency_s = self._clock.monotonic() - attempt.started_s
@@ -249,14 +310,20 @@
     def _finish(
         self,
         upstream: _Upstream,
+        ticket: Ticket,
         attempt: Attempt,
         observation: Observation,
-        deadline_s: float,
+        head_s: float | None = None,
     ) -> None:
         with self._lock:
             upstream.judge.observe(observation, attempt)
-            decisions = upstream.queue.release()
-        self._recorder.ended(upstream.settings.id, deadline_s, observation)
+            match observation.result:
+                case Result.OK:
+                    upstream.slots.answered(ticket, head_s)
+                case Result.SHED:
+                    upstream.slots.shed()
+            decisions = upstream.slots.finish(ticket, answered=head_s is not None)
+        self._recorder.ended(upstream.settings.id, ticket.deadline_s, observation)
         self._deliver(upstream.settings.id, decisions)
 
     def _record_refusal(self, upstream_id: str, decision: Decision) -> None:
@@ -272,69 +339,7 @@
             starter(decision)
 
 
-class _AnswerBody:
-    """Body of an answer; reports its result once, at its end or on `close`.
-
-    The latency reported is the time spent waiting for the upstream; the time that
-    the reader of the body takes is not the upstream's.
-    """
-
-    def __init__(
-        self,
-        answer: UpstreamAnswer,
-        clock: Clock,
-        head_s: float,
-        finish: Callable[[Result, float, int], None],
-    ):
-        self._answer = answer
-        self._clock = clock
-        self._waited_s = head_s
-        self._size = 0
-        self._finish = finish
-        self._finished = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        asked_s = self._clock.monotonic()
-        try:
-            chunk = next(self._answer.chunks)
-        except StopIteration:
-            self._waited_s += self._clock.monotonic() - asked_s
-            self._end(_result_of(self._answer.status))
-            raise
-        except UpstreamFailure as failure:
-            self._waited_s += self._clock.monotonic() - asked_s
-            self._end(_result_of_failure(failure))
-            raise AnswerBroken(failure.detail) from failure
-        self._waited_s += self._clock.monotonic() - asked_s
-        self._size += len(chunk)
-        return chunk
-
-    def close(self) -> None:
-        """Give the rest up; the connection to the upstream is closed."""
-        if not self._finished:
-            self._answer.close()
-            self._end(Result.CANCELLED)
-
-    def _end(self, result: Result) -> None:
-        if not self._finished:
-            self._finished = True
-            self._finish(result, self._waited_s, self._size)
-
-
-def _policies(rows: Iterable[Row]) -> tuple[RankPolicy, ...]:
-    return tuple(RankPolicy(row.rank, row.priority, row.share) for row in rows)
-
-
-def _result_of(status: int) -> Result:
-    if status == SERVICE_UNAVAILABLE:
-        return Result.SHED
-    return Result.FAILED if status >= SERVER_ERROR else Result.OK
-
-
-def _result_of_failure(failure: UpstreamFailure) -> Result:
-    """Return TIMED_OUT where the request's own deadline ended it."""
-    timed_out = failure.reason is Reason.DEADLINE
-    return Result.TIMED_OUT if timed_out else Result.FAILED
+def _refusal_of(failure: UpstreamFailure, call: UpstreamCall) -> Refused:
+    if call.cancelled and failure.outcome is Outcome.UNKNOWN:
+        return Refused(Outcome.UNKNOWN, Reason.CANCELLED, failure.detail)
+    return Refused(failure.outcome, failure.reason, failure.detail)
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -8,6 +8,7 @@
 from chicorychute.core.lines import is_line, is_word
 from chicorychute.core.messages import Headers, Work
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.transport.calls import TrackedConnection
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 64 << 10
@@ -71,6 +72,7 @@
 
     def __init__(self, url: str, connections: int):
         self._pool = urllib3.connection_from_url(url, maxsize=connections, block=False)
+        self._pool.ConnectionCls = TrackedConnection
 
     def send(self, work: Work, body: bytes, timeout_s: float) -> UpstreamAnswer:
         """Send a request and return its answer once the head has come.
--- /dev/null
+++ b/tests/processes/test_limits.py
@@ -0,0 +1,128 @@
+"""Slots, deadlines, cancels and crashing requests in real processes."""
+
+import socket
+import threading
+from collections import Counter
+
+import pytest
+import urllib3
+
+from standins.fleet import TABLE_HEADER, Fleet
+
+pytestmark = pytest.mark.processes
+
+PLACES = [("r", "a", "s"), ("r", "b", "s"), ("r", "c", "s"), ("r", "d", "s")]
+CALLERS = 48
+CALLS = 25
+SLOTS = 2
+MORE_SLOTS = 3
+MARKER = b"crash-upstream"
+
+
+def make_table(slots):
+    row = f"idempotent,0.5,{slots},0.5,1,0,1000"
+    return f"""{TABLE_HEADER}
+s,work,POST /work/*,1,0.5,500,10000,{row}
+s,check,POST /check/*,9,0.1,500,10000,{row}
+"""
+
+
+def send(node, path, body=b"{}", deadline_ms=10_000):
+    return urllib3.request(
+        "POST",
+        node.edge_url + path,
+        body=body,
+        headers={"Chute-Deadline-Ms": str(deadline_ms)},
+        timeout=60,
+        retries=False,
+    )
+
+
+def hammer(fleet, deadline_ms):
+    """Send from many callers through every entry; return the outcomes."""
+    outcomes = Counter()
+
+    def call(number):
+        for turn in range(CALLS):
+            node = fleet.nodes[(number + turn) % len(fleet.nodes)]
+            path = "/work/1" if number % 2 else "/check/1"
+            answer = send(node, path, deadline_ms=deadline_ms)
+            outcomes[answer.headers["Chute-Outcome"]] += 1
+
+    threads = [threading.Thread(target=call, args=(n,)) for n in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return outcomes
+
+
+def upstream_of(fleet, node):
+    return fleet.status(node)["upstreams"][0]
+
+
+def most_running(fleet):
+    return max(fleet.counts(node)["most_running"] for node in fleet.nodes)
+
+
+def test_slots_are_never_exceeded_by_late_and_lost_callers_or_a_new_table():
+    with Fleet(PLACES[:3], make_table(SLOTS), service_ms=30) as fleet:
+        outcomes = hammer(fleet, deadline_ms=60)  # many answers come too late
+        assert outcomes["ran"] and outcomes["unknown"]
+        assert most_running(fleet) <= SLOTS
+        fleet.publish_table(2, make_table(MORE_SLOTS))
+        fleet.wait_for(
+            lambda: all(fleet.status(n)["table_version"] == 2 for n in fleet.nodes),
+            "version 2",
+        )
+        outcomes = hammer(fleet, deadline_ms=10_000)
+        assert outcomes["ran"]
+        assert most_running(fleet) <= MORE_SLOTS
+
+
+@pytest.mark.parametrize("entry", [0, 1])
+def test_request_whose_caller_hangs_up_while_it_waits_is_not_run(entry):
+    places = [("r", "a", "s"), ("r", "a", "other")]
+    other = "other,o,GET /other,1,0.5,500,10000,idempotent,0.5,1,0.5,1,0,1000\n"
+    with Fleet(places, make_table(1) + other, service_ms=3000) as fleet:
+        gate, node = fleet.nodes[0], fleet.nodes[entry]
+        runs = threading.Thread(target=send, args=(gate, "/work/1"))
+        runs.start()
+        fleet.wait_for(lambda: upstream_of(fleet, gate)["in_flight"], "a run")
+        caller = socket.create_connection(("127.0.0.1", node.edge_port))
+        head = b"POST /work/2 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+        caller.sendall(head)
+        fleet.wait_for(lambda: upstream_of(fleet, gate)["queued"], "a queue")
+        caller.close()
+        fleet.wait_for(lambda: not upstream_of(fleet, gate)["queued"], "no queue")
+        runs.join()
+        fleet.wait_for(lambda: not upstream_of(fleet, gate)["in_flight"], "the end")
+        assert fleet.counts(gate)["counts"] == {"ran": 1}
+
+
+def test_request_that_crashes_upstreams_takes_two_and_no_innocent_with_it():
+    with Fleet(PLACES, make_table(4), service_ms=200) as fleet:
+
+        def alive():
+            return [node for node in fleet.nodes if node.upstream.poll() is None]
+
+        innocents = [f"/work/{number}" for number in range(12)]
+        beside = [
+            threading.Thread(target=send, args=(fleet.nodes[n % 4], path))
+            for n, path in enumerate(innocents)
+        ]
+        for thread in beside:
+            thread.start()
+        answers = [send(node, "/work/x", MARKER) for node in 5 * fleet.nodes]
+        for thread in beside:
+            thread.join()
+        assert len(alive()) >= 2
+        assert answers[-1].headers["Chute-Reason"] == "quarantined"
+        for path in innocents:
+            entry = alive()[0]
+            fleet.wait_for(
+                lambda path=path, entry=entry: (
+                    send(entry, path).headers["Chute-Outcome"] == "ran"
+                ),
+                f"{path} to run",
+            )
