--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -1,5 +1,6 @@
 """Slots, deadlines, cancels and crashing requests in real processes."""
 
+import contextlib
 import socket
 import threading
 from collections import Counter
@@ -127,3 +128,27 @@
                 ),
                 f"{path} to run",
             )
+
+
+def test_copies_of_a_crashing_request_sent_at_one_moment_take_two_upstreams():
+    with Fleet(2 * PLACES, make_table(4), service_ms=200) as fleet:
+        for node in fleet.nodes:
+            fleet.set_faults(node, held=True)
+        copies = [
+            threading.Thread(target=send, args=(node, "/work/x", MARKER))
+            for node in fleet.nodes
+        ]
+        for thread in copies:
+            thread.start()
+        fleet.wait_for(
+            lambda: sum(fleet.counts(n)["running"] for n in fleet.nodes) == len(copies),
+            "every copy to run",
+        )
+
+        for node in fleet.nodes:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):  # it is lost
+                fleet.set_faults(node, held=False)
+        for thread in copies:
+            thread.join()
+        lost = [node for node in fleet.nodes if node.upstream.poll() is not None]
+        assert len(lost) <= 2
