--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,10 +36,10 @@
 from chicorychute.membership.view import MembershipView
 from chicorychute.orders.ledger import ENTRY_LIMIT, OrderLedger, StoredAnswer
 from chicorychute.orders.token import TOKEN_LIFE_US, OrderKey
-from chicorychute.platform.pacing import ReadPace
 from chicorychute.routing.candidates import eligible
 from chicorychute.routing.choice import choose
 from chicorychute.services.fleet import FleetService
+from chicorychute.sources.pacing import ReadPace
 from chicorychute.table.edits import parse_edit
 from chicorychute.table.parse import parse_table
 from chicorychute.table.relay import Place, announce_targets
--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -39,6 +39,8 @@
         Whether no other request may run beside it.
     fingerprint : str
         What it has in common with the same request sent again.
+    may_wait : bool
+        Whether it may wait for a slot, or be sent to an upstream in doubt.
     """
 
     rank: str
@@ -46,6 +48,7 @@
     team: str = ""
     alone: bool = False
     fingerprint: str = ""
+    may_wait: bool = True
 
 
 @attrs.frozen
@@ -138,6 +141,8 @@
         if self._has_room(ticket) and not self._ready_ranks():
             self._grant(ticket, now_s)
             return Granted(ticket)
+        if not ticket.may_wait:
+            return Refused(ticket, Reason.NO_FREE_SLOT)
         if self._too_late_if_queued(ticket, now_s):
             return Refused(ticket, Reason.OVERLOAD)
         self._enqueue(ticket)
--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -11,6 +11,7 @@
 
 REQUIRED = object()
 MAX_PORT = 65_535
+SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "": 1.0}  # "ms" before "s": both end in s
 WILDCARD_HOSTS = ("0.0.0.0", "::")
 NAME = "letters, digits, '-', '_' and '.'"
 
@@ -102,7 +103,20 @@
 
 def _seconds(low: float, high: float) -> Callable[[str], timedelta]:
     read_number = _number(low, high)
-    return lambda value: timedelta(seconds=read_number(value))
+
+    def read(value: str) -> timedelta:
+        number, unit = _split_unit(value)
+        seconds = float(number) * SECONDS_BY_UNIT[unit]
+        return timedelta(seconds=read_number(str(seconds)))
+
+    return read
+
+
+def _split_unit(value: str) -> tuple[str, str]:
+    for unit in SECONDS_BY_UNIT:
+        if unit and value.endswith(unit):
+            return value.removesuffix(unit), unit
+    return value, ""
 
 
 def _path_or_nothing(value: str) -> str:
@@ -128,6 +142,18 @@
     return tuple(pairs)
 
 
+def _pairs(value: str) -> dict[str, str]:
+    parts = (part.partition(":") for part in value.replace(",", " ").split())
+    return {_name(key): _name(held) for key, _, held in parts}
+
+
+def _address(value: str) -> tuple[str, int] | None:
+    if not value:
+        return None
+    host, _, port = value.rpartition(":")
+    return _own_host(host), _port(port)
+
+
 def _url(value: str) -> str:
     parts = urlsplit(value)
     if parts.scheme != "http" or parts.username is not None:
@@ -145,12 +171,16 @@
     return url
 
 
+ADDRESS = "host:port, or nothing"
+ADDRESS_DOC = "Both in one, in place of host and port."
+
 KEYS: tuple[Key, ...] = (
     Key("instance", "id", _name, REQUIRED, NAME, "Name of the instance."),
     Key("instance", "zone", _name, REQUIRED, NAME, "Its availability zone."),
     Key("instance", "region", _name, REQUIRED, NAME, "Its region."),
     Key("edge", "host", _host, "127.0.0.1", "an address", "Listens for callers."),
     Key("edge", "port", _port, 8080, "0 to 65535", "Port for callers."),
+    Key("edge", "address", _address, None, ADDRESS, ADDRESS_DOC),
     Key(
         "edge",
         "threads",
@@ -192,16 +222,19 @@
         "Listens for peers, and is the address given to them.",
     ),
     Key("peer", "port", _port, 8081, "0 to 65535", "Port for peers."),
+    Key("peer", "address", _address, None, ADDRESS, ADDRESS_DOC),
     Key("peer", "seeds", _addresses, (), "host:port ...", "Peers asked at start."),
     Key("operator", "host", _host, "127.0.0.1", "an address", "For operators."),
     Key("operator", "port", _port, 8082, "0 to 65535", "Port for operators."),
+    Key("operator", "address", _address, None, ADDRESS, ADDRESS_DOC),
     Key(
         "platform",
         "backend",
-        _one_of("http", "none"),
+        _one_of("http", "mesh", "none"),
         "http",
-        "http or none",
-        "Reader of the configuration service and the instance list.",
+        "http, mesh or none",
+        "Reader of the configuration service and the instance list; mesh also sets"
+        " the headers and statuses that callers and upstreams use.",
     ),
     Key(
         "platform",
@@ -209,7 +242,7 @@
         _url,
         "",
         "http://host:port/path",
-        "Base URL of the platform; needed with backend http.",
+        "Base URL of the platform; needed with backends http and mesh.",
     ),
     Key(
         "platform",
@@ -227,6 +260,38 @@
         "0 to 600 seconds",
         "Time over which the first reads of daemons that start at once spread.",
     ),
+    Key(
+        "platform",
+        "longest_pause_s",
+        _seconds(0.1, 3600),
+        timedelta(seconds=30),
+        "0.1 to 3600 seconds",
+        "Longest pause between reads of the platform while it fails.",
+    ),
+    Key(
+        "platform",
+        "retry_share",
+        _number(0, 1),
+        0.1,
+        "0 to 1",
+        "With backend mesh: cell of that name in every row.",
+    ),
+    Key(
+        "platform",
+        "retry_burst",
+        _number(0, 1000),
+        2.0,
+        "0 to 1000",
+        "With backend mesh: cell of that name in every row.",
+    ),
+    Key(
+        "platform",
+        "floor",
+        _number(0, 1),
+        0.5,
+        "0 to 1",
+        "With backend mesh: cell of that name in every row.",
+    ),
     Key(
         "gossip",
         "interval_s",
@@ -235,6 +300,23 @@
         "0.02 to 60 seconds",
         "Pause between gossip rounds.",
     ),
+    Key(
+        "gossip",
+        "scope",
+        _one_of("fleet", "region"),
+        "fleet",
+        "fleet or region",
+        "Who tells whom: the whole fleet, or each region for itself, with upstreams of"
+        " other regions known from the platform's list alone.",
+    ),
+    Key(
+        "gossip",
+        "regions",
+        _pairs,
+        {},
+        "zone:region, ...",
+        "Region of each availability zone; needed with scope region.",
+    ),
     Key(
         "gossip",
         "suspect_after_s",
@@ -251,6 +333,15 @@
         "0 to 3600 seconds",
         "Longest wait for requests in flight at shutdown.",
     ),
+    Key(
+        "shutdown",
+        "settle_s",
+        _seconds(0, 600),
+        timedelta(seconds=1),
+        "0 to 600 seconds",
+        "Time for which a leaving daemon still takes requests, so that callers and"
+        " peers hear of it first.",
+    ),
     Key(
         "log",
         "format",
--- a/chicorychute/conf/settings.py
+++ b/chicorychute/conf/settings.py
@@ -11,7 +11,7 @@
 from chicorychute.conf import defaults
 from chicorychute.conf.defaults import Key
 from chicorychute.conf.exceptions import SettingFault
-from chicorychute.conf.together import UpstreamSettings, check_together
+from chicorychute.conf.together import LISTENERS, UpstreamSettings, check_together
 
 
 @attrs.frozen
@@ -71,6 +71,10 @@
         for section, keys in keys_by_section.items():
             found = self._read_section(section, keys)
             values.update({(section, name): value for name, value in found.items()})
+        for section in LISTENERS:
+            address = values.get((section, "address"))
+            if address is not None:
+                values[section, "host"], values[section, "port"] = address
         upstreams = self._read_upstreams(keys_by_section.keys())
         faults = [*self._faults, *check_together(self._file, values, upstreams)]
         if faults:
--- a/chicorychute/conf/together.py
+++ b/chicorychute/conf/together.py
@@ -46,10 +46,10 @@
 def _check_platform(
     file: str, values: Values, upstreams: Sequence[UpstreamSettings]
 ) -> list[SettingFault]:
-    needs_url = values.get(("platform", "backend")) == "http"
-    if not needs_url or values.get(("platform", "url")) != "":
+    backend = values.get(("platform", "backend"))
+    if backend not in ("http", "mesh") or values.get(("platform", "url")) != "":
         return []
-    problem = "is missing, and backend is http"
+    problem = f"is missing, and backend is {backend}"
     hint = "set it to http://host:port/path, or set backend to none"
     return [SettingFault("conf.E008", file, "platform", "url", "", problem, hint)]
 
--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -16,6 +16,7 @@
 )
 
 DEFAULT_RECORD_MB = 64
+FLUSH_S = 0.5  # longest wait for the last log lines at the end
 
 
 class Command(BaseCommand):
@@ -56,12 +57,13 @@
         from chicorychute.services.recorder import RecordError
         from chicorychute.telemetry.logs import configure_logs
 
-        configure_logs(
+        writer = configure_logs(
             settings.get("log", "format"), settings.get("log", "level"), SystemClock()
         )
         max_bytes = options.record_mb << 20
         try:
             daemon = Daemon(settings, options.record, max_bytes)
+            daemon.on_exit = lambda: writer.flush(FLUSH_S)
         except RecordError as error:
             raise CommandError(str(error), EXIT_BAD_INPUT) from error
         except OSError as error:
--- a/chicorychute/core/management/commands/table.py
+++ b/chicorychute/core/management/commands/table.py
@@ -16,7 +16,7 @@
 )
 from chicorychute.core.management.operator import DEFAULT_URL, fetch
 from chicorychute.core.management.text import columns
-from chicorychute.table.columns import COLUMN_NAMES, COLUMNS, cell_of
+from chicorychute.table.columns import COLUMNS, KNOWN_NAMES, cell_of
 from chicorychute.table.diff import CellChanged, Change, RowAdded, diff_tables
 from chicorychute.table.parse import parse_table
 from chicorychute.table.routes import RouteIndex
@@ -70,8 +70,8 @@
         rows = [_cells(row) for row in table.rows]
         print(json.dumps({"version": table.version, "rows": rows}, indent=2))
         return EXIT_OK
-    rows = [[cell_of(row, name) for name in COLUMN_NAMES] for row in table.rows]
-    print("\n".join(columns([COLUMN_NAMES, *rows])))
+    rows = [[cell_of(row, name) for name in KNOWN_NAMES] for row in table.rows]
+    print("\n".join(columns([KNOWN_NAMES, *rows])))
     return EXIT_OK
 
 
@@ -135,7 +135,7 @@
 
 
 def _cells(row: Row) -> dict[str, str]:
-    return {name: cell_of(row, name) for name in COLUMN_NAMES}
+    return {name: cell_of(row, name) for name in KNOWN_NAMES}
 
 
 def _change_line(change: Change) -> str:
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -10,7 +10,7 @@
 
 from chicorychute.core.outcomes import Outcome, Reason
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -58,6 +58,12 @@
         Sends to gates so far, counted across hops, from 1.
     remaining_ms : float
         Time left before the deadline when the message was sent.
+    id : str
+        Names the request in the logs of every daemon.
+    repeatable : bool
+        Whether the request may run more than once.
+    may_wait : bool
+        Whether the request may wait for a slot, or be sent to an upstream in doubt.
     """
 
     method: str
@@ -70,6 +76,9 @@
     traceparent: str
     attempt: int
     remaining_ms: float
+    id: str = ""
+    repeatable: bool = True
+    may_wait: bool = True
 
 
 @attrs.frozen
@@ -160,12 +169,22 @@
 
 @attrs.frozen
 class Refusal:
-    """End of a request without a whole answer."""
+    """End of a request without a whole answer.
+
+    Attributes
+    ----------
+    wait_ms : float
+        Wait predicted for the request at the gate that refused it.
+    risk : float
+        Probability that a request sent there now fails, 0 to 1.
+    """
 
     id: int
     outcome: Outcome
     reason: Reason
     detail: str
+    wait_ms: float = 0.0
+    risk: float = 0.0
 
 
 @attrs.frozen
@@ -217,6 +236,8 @@
         Recent results that peers of the service compare themselves with.
     waits : tuple of RankWait
         Wait predicted for each rank, by which entries compare gates.
+    risk : float
+        Probability that a request sent now fails, 0 to 1.
     """
 
     upstream: str
@@ -233,6 +254,7 @@
         default=(), metadata={"item": RankDigest}
     )
     waits: tuple[RankWait, ...] = attrs.field(default=(), metadata={"item": RankWait})
+    risk: float = 0.0
 
 
 @attrs.frozen
@@ -296,6 +318,21 @@
     )
 
 
+@attrs.frozen
+class Beat:
+    """Sender's own record, and the last one that it heard from the receiver.
+
+    Attributes
+    ----------
+    echo, echo_incarnation : int
+        Heartbeat and incarnation of the receiver's record; 0 where none was heard.
+    """
+
+    record: MemberRecord
+    echo: int
+    echo_incarnation: int
+
+
 @attrs.frozen
 class ProbeRequest:
     """Asks a peer to find out whether another instance lives."""
@@ -369,4 +406,5 @@
     | TableAnnounce
     | AnswerCredit
     | DigestUpdate
+    | Beat
 )
--- a/chicorychute/core/outcomes.py
+++ b/chicorychute/core/outcomes.py
@@ -43,6 +43,10 @@
     ALREADY_RUNNING = "already-running"
     ANSWER_NOT_KEPT = "answer-not-kept"
     REGION_BUDGET = "region-budget"
+    UPSTREAM_BUSY = "upstream-busy"
+    UPSTREAM_DOUBTED = "upstream-doubted"
+    NO_FREE_SLOT = "no-free-slot"
+    UPSTREAM_REPLACED = "upstream-replaced"
 
 
 @attrs.frozen
@@ -94,6 +98,10 @@
     Reason.ANSWER_NOT_KEPT: ReasonSpec(
         410, "it ran: look its result up at the service, don't place it again"
     ),
+    Reason.UPSTREAM_DOUBTED: ReasonSpec(503, "send it again later"),
+    Reason.NO_FREE_SLOT: ReasonSpec(503, "send it again later"),
+    Reason.UPSTREAM_BUSY: ReasonSpec(503, "send it again later"),
+    Reason.UPSTREAM_REPLACED: ReasonSpec(503, "send it again later"),
     Reason.REGION_BUDGET: ReasonSpec(
         503, "send it again later, or raise cross_region_kbps of its row"
     ),
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -16,6 +16,7 @@
     AnswerChunk,
     AnswerCredit,
     AnswerHead,
+    Beat,
     BodyChunk,
     Cancel,
     DigestUpdate,
@@ -34,16 +35,15 @@
     TableUpdate,
 )
 from chicorychute.core.system_clock import SystemClock
+from chicorychute.membership.nearby import NearbyView
 from chicorychute.membership.view import MembershipView
 from chicorychute.orders.ledger import OrderLedger
 from chicorychute.pipeline import filters
 from chicorychute.pipeline.leaving import Leaving
+from chicorychute.pipeline.life import tell_end
 from chicorychute.pipeline.measure import measure
 from chicorychute.pipeline.once import OrderHome
 from chicorychute.pipeline.values import Handler, chain
-from chicorychute.platform.base import PlatformBackend
-from chicorychute.platform.http import HttpPlatform
-from chicorychute.platform.pacing import ReadPace
 from chicorychute.services.drain import DrainService
 from chicorychute.services.entry import EntryService
 from chicorychute.services.exchanges import Exchanges
@@ -58,13 +58,21 @@
 from chicorychute.services.stopping import StopSignals
 from chicorychute.services.tables import TableService
 from chicorychute.services.ticker import Ticker
+from chicorychute.sources.base import ListedUpstream, PlatformBackend
+from chicorychute.sources.http import HttpPlatform
+from chicorychute.sources.pacing import ReadPace
 from chicorychute.table.rows import Table
 from chicorychute.table.versions import TableVersions
 from chicorychute.telemetry.instruments import Instruments
 from chicorychute.telemetry.prometheus import render
 from chicorychute.telemetry.tracing import PassThroughTracing, Tracing
 from chicorychute.transport.callers import CallerWatch
-from chicorychute.transport.edge import EdgeApplication, EdgeServer
+from chicorychute.transport.dialect import Dialect
+from chicorychute.transport.edge import (
+    SILENCE_LIMIT_S,
+    EdgeApplication,
+    EdgeServer,
+)
 from chicorychute.transport.links import Link, LinkHub
 from chicorychute.transport.operator import OperatorPages, OperatorServer
 
@@ -72,7 +80,7 @@
 NOTICE_REPAIR_S = 2.0
 CALLER_TICK_S = 0.1
 PROBE_TICK_S = 0.1
-PLATFORM_TICK_S = 0.5
+PLATFORM_TICK_S = 0.25
 EXIT_CUT = 1  # requests were cut at shutdown
 
 logger = structlog.get_logger()
@@ -103,6 +111,7 @@
         self._rng = random.Random()
         self._stop_asked = threading.Event()
         self._edge_listens = False
+        self.on_exit: Callable[[], None] = lambda: None
         self._build()
 
     def _build(self) -> None:
@@ -118,6 +127,7 @@
         self._tracing = _tracing(self._settings, instance, self._rng)
         self._telemetry = Instruments(instance, self._clock)
         self._exchanges = Exchanges(self._clock)
+        self._dialect = _dialect(self._settings, self._own_service)
         self._platform = _platform(self._settings)
         self._build_links(hello)
         self._build_fleet(hello)
@@ -158,7 +168,11 @@
             (),
         )
         suspect_after_s = get("gossip", "suspect_after_s").total_seconds()
-        view = MembershipView(own, suspect_after_s, self._clock, self._rng)
+        view = (
+            self._nearby_view(own)
+            if get("gossip", "scope") == "region"
+            else MembershipView(own, suspect_after_s, self._clock, self._rng)
+        )
         self._fleet = FleetService(
             view,
             self._platform,
@@ -167,6 +181,8 @@
             self._pace(get("platform", "poll_s").total_seconds()),
             self._rng,
             self._on_listed_leaving,
+            self._on_listed,
+            self._is_mesh,
         )
         self._notices = NoticeService(self._fleet, self._get_hub, self._rng)
         self._tables = TableService(
@@ -179,6 +195,11 @@
             self._on_table,
         )
 
+    def _nearby_view(self, own: MemberRecord) -> NearbyView:
+        get = self._settings.get
+        interval_s = get("gossip", "interval_s").total_seconds()
+        return NearbyView(own, interval_s, self._clock, get("gossip", "regions"))
+
     def _build_gate(self, hello: Hello) -> None:
         self._gate = GateService(
             self._settings.upstreams,
@@ -188,6 +209,8 @@
             Quarantine(hello.instance, hello.incarnation, self._clock),
             self._notices.tell,
             self._recorder,
+            self._dialect,
+            self._is_mesh,
         )
 
     def _build_shutdown(self) -> None:
@@ -201,6 +224,7 @@
             limit_s,
             self._clock,
             lambda: not self._home.idle(),
+            self._settings.get("shutdown", "settle_s").total_seconds(),
         )
 
     def _build_pipeline(self, hello: Hello) -> Handler:
@@ -222,6 +246,7 @@
                 self._leaving.count,
                 filters.trace(self._tracing, "entry"),
                 measure(self._telemetry.requests, clock),
+                tell_end(clock, lambda: self._tables.version),
                 self._home.guard,
                 filters.route(self._tables.routes),
                 self._seats.filter,
@@ -244,6 +269,7 @@
             self._leaving.serving,
             lambda reason: telemetry.edge_refusals.add(reason.value),
             self._callers,
+            self._dialect,
         )
         self._edge = EdgeServer(
             application,
@@ -277,7 +303,7 @@
             lambda: Counter(status.value for _, status in self._fleet.snapshot())
         )
         telemetry.publish_table_conflicts(lambda: self._tables.conflicts)
-        if isinstance(platform, HttpPlatform):
+        if platform is not None:
             telemetry.publish_platform_reads(lambda: platform.reads)
 
     def _make_tickers(self, platform: PlatformBackend | None) -> list[Ticker]:
@@ -297,7 +323,8 @@
 
     def _pace(self, interval_s: float) -> ReadPace:
         spread_s = self._settings.get("platform", "start_spread_s").total_seconds()
-        return ReadPace(interval_s, spread_s, self._clock, self._rng)
+        longest_s = self._settings.get("platform", "longest_pause_s").total_seconds()
+        return ReadPace(interval_s, spread_s, self._clock, self._rng, longest_s)
 
     def run(self) -> int:
         """Serve until a signal asks to stop; returns the exit code."""
@@ -314,8 +341,10 @@
         if not self._drain.run():
             # The servers would wait for every thread that waits for an upstream.
             logger.info("daemon: stopped")
+            self.on_exit()
             os._exit(EXIT_CUT)
         self._stop()
+        self.on_exit()
         return 0
 
     def _on_signal(self) -> None:
@@ -339,10 +368,25 @@
     def _get_hub(self) -> LinkHub:
         return self._hub
 
-    def _gossip(self) -> None:
+    @property
+    def _is_mesh(self) -> bool:
+        return self._settings.get("platform", "backend") == "mesh"
+
+    def _own_service(self) -> str:
+        return self._gate.service_of(self._settings.upstreams[0].id)
+
+    def _on_listed(self, upstreams: tuple[ListedUpstream, ...], complete: bool) -> None:
+        if self._gate.take_list(upstreams, complete):
+            self._publish()
+            self._fleet.tell_own()
+
+    def _publish(self) -> None:
         digests = self._gate.digests()
         self._telemetry.verdicts.observe(digests)
         self._fleet.publish(self._tables.version, digests, self._tables.hash)
+
+    def _gossip(self) -> None:
+        self._publish()
         self._fleet.gossip()
 
     def _repair_notices(self) -> None:
@@ -356,6 +400,8 @@
         self._gate.apply(table)
         self._seats.apply(table)
         self._peers.apply(table)
+        idle_s = max((row.idle_s for row in table.rows), default=0.0)
+        self._edge.set_silence_limit(idle_s or SILENCE_LIMIT_S)
         self._telemetry.table.note(table.version)
 
     def _why_not_ready(self) -> str:
@@ -383,6 +429,10 @@
             case Gossip():
                 self._fleet.on_gossip(link, message)
                 self._tables.on_gossip(link, message)
+            case Beat(record):
+                self._fleet.on_beat(link, message)
+                announce = TableAnnounce(record.table_version, record.table_hash)
+                self._tables.on_announce(link, announce)
             case DigestUpdate():
                 self._fleet.on_digests(message)
             case ProbeRequest():
@@ -405,11 +455,34 @@
 def _platform(settings: Settings) -> PlatformBackend | None:
     makers: dict[str, Callable[[], PlatformBackend | None]] = {
         "http": lambda: HttpPlatform(settings.get("platform", "url")),
+        "mesh": lambda: _mesh_platform(settings),
         "none": lambda: None,
     }
     return makers[settings.get("platform", "backend")]()
 
 
+def _mesh_platform(settings: Settings) -> PlatformBackend:
+    from chicorychute.platform.backend import MeshPlatform
+    from chicorychute.platform.store import StoreClient
+    from chicorychute.platform.tables import PolicyCells
+
+    policy = PolicyCells(
+        settings.get("platform", "retry_share"),
+        settings.get("platform", "retry_burst"),
+        settings.get("platform", "floor"),
+    )
+    store = StoreClient(settings.get("platform", "url"))
+    return MeshPlatform(store, settings.get("peer", "port"), policy)
+
+
+def _dialect(settings: Settings, own_service: Callable[[], str]) -> Dialect:
+    if settings.get("platform", "backend") != "mesh":
+        return Dialect()
+    from chicorychute.platform.dialect import MeshDialect
+
+    return MeshDialect(own_service)
+
+
 def _tracing(settings: Settings, instance: str, rng: random.Random) -> Tracing:
     if settings.get("trace", "export") == "off":
         return PassThroughTracing(rng)
--- a/chicorychute/membership/digests.py
+++ b/chicorychute/membership/digests.py
@@ -38,6 +38,7 @@
         failure_share=short(digest.failure_share),
         weight=short(digest.weight),
         suspicion=short(digest.suspicion),
+        risk=short(digest.risk),
         ranks=tuple(_shorten_rank(rank) for rank in digest.ranks),
         waits=tuple(RankWait(w.rank, short(w.wait_ms)) for w in digest.waits),
     )
--- /dev/null
+++ b/chicorychute/membership/nearby.py
@@ -0,0 +1,253 @@
+"""What one daemon believes where traffic between regions is dear.
+
+Load pattern: most work is served within its region, so only peers of the region tell
+each other load and verdicts, each its own and none relayed. Upstreams of other
+regions are known from the platform's list alone; their gates refuse what they have
+no room for. Each beat echoes the last one heard from its receiver, which proves
+the way there and back without a message of its own: a way cut in one direction,
+or silent, stops being confirmed.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import (
+    Beat,
+    MemberRecord,
+    MemberStatus,
+    UpstreamDigest,
+    Verdict,
+)
+from chicorychute.membership.digests import shorten
+from chicorychute.membership.sends import Send
+from chicorychute.sources.base import ListedInstance, ListedUpstream
+
+CONFIRM_ROUNDS = 3.5  # rounds without an echo after which a way counts as lost
+BEATS_KEPT = 64  # own beats whose echo is still understood
+FAR_DOUBT_S = 3.0  # time for which a way to another region stays lost after a failure
+FORGET_S = 4.0  # silence after which a peer that the list dropped is forgotten
+
+
+@attrs.define
+class Peer:
+    """Another instance: its record, and what proves the way to it.
+
+    Attributes
+    ----------
+    heard_s : float, optional
+        When its last beat came.
+    confirmed_s : float, optional
+        When the newest own beat was sent that it has echoed.
+    lost_s : float, optional
+        When a message to it could not be sent.
+    """
+
+    record: MemberRecord
+    listed: bool = True
+    heard_s: float | None = None
+    confirmed_s: float | None = None
+    lost_s: float | None = None
+
+
+class NearbyView:
+    """Beliefs of one daemon on its own region and, by the list, on all others.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        Record of the own instance; its heartbeat numbers the beats.
+    interval_s : float
+        Time between two rounds of beats.
+    region_by_zone : mapping
+        Region of each availability zone.
+    """
+
+    alone = False
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        interval_s: float,
+        clock: Clock,
+        region_by_zone: Mapping[str, str],
+    ):
+        self._own = own
+        self._limit_s = interval_s * CONFIRM_ROUNDS
+        self._clock = clock
+        self._region_by_zone = region_by_zone
+        self._peer_by_id: dict[str, Peer] = {}
+        self._sent_s_by_beat: OrderedDict[int, float] = OrderedDict()
+
+    @property
+    def own(self) -> MemberRecord:
+        """Own record as last published."""
+        return self._own
+
+    def publish(
+        self,
+        table_version: int,
+        upstreams: tuple[UpstreamDigest, ...],
+        table_hash: str = "",
+    ) -> None:
+        """Replace the own digests."""
+        self._own = attrs.evolve(
+            self._own,
+            heartbeat=self._own.heartbeat + 1,
+            table_version=table_version,
+            table_hash=table_hash,
+            upstreams=upstreams,
+            services=tuple(sorted({digest.service for digest in upstreams})),
+        )
+
+    def leave(self) -> None:
+        """Mark the own instance as leaving."""
+        self._own = attrs.evolve(
+            self._own, heartbeat=self._own.heartbeat + 1, status=MemberStatus.LEAVING
+        )
+
+    def tell_own(self) -> tuple[Send, ...]:
+        """Return a beat for every peer of the region, out of turn."""
+        return self.gossip_round()
+
+    def merge_list(self, leaving: Iterable[str], staying: Iterable[str]) -> bool:
+        """Return False: no instance leaves by the list, only its upstreams do."""
+        return False
+
+    def gossip_round(self) -> tuple[Send, ...]:
+        """Return a beat for every peer of the region."""
+        now_s = self._clock.monotonic()
+        self._sent_s_by_beat[self._own.heartbeat] = now_s
+        while len(self._sent_s_by_beat) > BEATS_KEPT:
+            self._sent_s_by_beat.popitem(last=False)
+        told = attrs.evolve(
+            self._own, upstreams=tuple(map(shorten, self._own.upstreams))
+        )
+        return tuple(
+            Send(instance, Beat(told, peer.record.heartbeat, peer.record.incarnation))
+            for instance, peer in self._peer_by_id.items()
+            if peer.record.region == self._own.region
+        )
+
+    def on_beat(self, beat: Beat) -> bool:
+        """Take a peer's beat; returns whether its sender asks for one at once."""
+        record = beat.record
+        if record.instance == self._own.instance:
+            return False
+        now_s = self._clock.monotonic()
+        known = self._peer_by_id.get(record.instance)
+        if known is not None and _order(record) < _order(known.record):
+            return False
+        if known is None or known.record.incarnation != record.incarnation:
+            known = Peer(record, listed=known is not None and known.listed)
+            self._peer_by_id[record.instance] = known
+        known.record = record
+        known.heard_s = now_s
+        echoed = beat.echo_incarnation == self._own.incarnation
+        if echoed and beat.echo in self._sent_s_by_beat:
+            known.confirmed_s = self._sent_s_by_beat[beat.echo]
+            known.lost_s = None
+        return beat.echo_incarnation != self._own.incarnation
+
+    def take_listed(self, listed: Iterable[ListedInstance]) -> None:
+        """Take the platform's list; what it drops is forgotten once it is silent."""
+        now_s = self._clock.monotonic()
+        for peer in self._peer_by_id.values():
+            peer.listed = False
+        for item in listed:
+            if item.instance != self._own.instance and item.upstreams:
+                self._take_item(item)
+        for instance, peer in list(self._peer_by_id.items()):
+            silent = peer.heard_s is None or now_s - peer.heard_s > FORGET_S
+            if not peer.listed and silent:
+                del self._peer_by_id[instance]
+
+    def _take_item(self, item: ListedInstance) -> None:
+        peer = self._peer_by_id.get(item.instance)
+        digests = tuple(
+            _digest_of(item.instance, u) for u in item.upstreams if not u.leaving
+        )
+        if peer is None:
+            record = self._record_of(item, digests)
+            self._peer_by_id[item.instance] = Peer(record)
+            return
+        peer.listed = True
+        if peer.heard_s is None:
+            services = tuple(sorted({digest.service for digest in digests}))
+            peer.record = attrs.evolve(
+                peer.record, upstreams=digests, services=services
+            )
+
+    def _record_of(
+        self, item: ListedInstance, digests: tuple[UpstreamDigest, ...]
+    ) -> MemberRecord:
+        zone = item.upstreams[0].zone
+        return MemberRecord(
+            item.instance,
+            0,
+            0,
+            MemberStatus.ALIVE,
+            item.host,
+            item.peer_port,
+            zone,
+            self._region_by_zone.get(zone, zone),
+            0,
+            digests,
+            services=tuple(sorted({digest.service for digest in digests})),
+        )
+
+    def status_of(self, instance: str) -> MemberStatus:
+        """Return the status of an instance, DEAD where it is unknown.
+
+        A peer of the region is ALIVE while the way there and back is confirmed;
+        one of another region until a message to it fails.
+        """
+        if instance == self._own.instance:
+            return self._own.status
+        peer = self._peer_by_id.get(instance)
+        if peer is None:
+            return MemberStatus.DEAD
+        if peer.record.status is not MemberStatus.ALIVE:
+            return peer.record.status
+        now_s = self._clock.monotonic()
+        if peer.record.region == self._own.region:
+            sure = peer.confirmed_s is not None
+            alive = sure and now_s - peer.confirmed_s <= self._limit_s
+        else:
+            alive = peer.lost_s is None or now_s - peer.lost_s > FAR_DOUBT_S
+        return MemberStatus.ALIVE if alive else MemberStatus.SUSPECT
+
+    def record_of(self, instance: str) -> MemberRecord | None:
+        """Return the newest record of an instance, or None."""
+        if instance == self._own.instance:
+            return self._own
+        peer = self._peer_by_id.get(instance)
+        return None if peer is None else peer.record
+
+    def records(self) -> tuple[MemberRecord, ...]:
+        """Return every record, the own first."""
+        return (self._own, *(peer.record for peer in self._peer_by_id.values()))
+
+    def hosts(self, service: str) -> list[MemberRecord]:
+        """Return the records of the instances beside which a service runs."""
+        return [record for record in self.records() if service in record.services]
+
+    def on_unreachable(self, instance: str) -> None:
+        """Note that no message could be sent to an instance."""
+        peer = self._peer_by_id.get(instance)
+        if peer is not None:
+            peer.lost_s = self._clock.monotonic()
+
+
+def _order(record: MemberRecord) -> tuple[int, int]:
+    return record.incarnation, record.heartbeat
+
+
+def _digest_of(instance: str, listed: ListedUpstream) -> UpstreamDigest:
+    """Return what the list alone tells: a place with slots and no known load."""
+    verdict = Verdict.COLD if listed.cold_s > 0 else Verdict.HEALTHY
+    return UpstreamDigest(
+        instance, listed.service, verdict, listed.slots, 0, 0, 0.0, 0.0, 1.0
+    )
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -13,11 +13,11 @@
 
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import (
+    Beat,
     DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
-    Message,
     ProbeRequest,
     UpstreamDigest,
 )
@@ -28,6 +28,7 @@
 from chicorychute.membership.probes import Askers, Finding, Probes
 from chicorychute.membership.records import claim
 from chicorychute.membership.selection import SMALL_FLEET, Turn
+from chicorychute.membership.sends import Send
 
 HELPERS = 3
 PAUSE_FACTOR = 0.5  # of the suspicion period, between two rounds: was paused
@@ -40,14 +41,6 @@
 }
 
 
-@attrs.frozen
-class Send:
-    """A message for an instance."""
-
-    instance: str
-    message: Message
-
-
 class MembershipView:
     """What this daemon believes about every instance.
 
@@ -123,8 +116,23 @@
         self._own = attrs.evolve(
             self._own, heartbeat=self._own.heartbeat + 1, status=MemberStatus.LEAVING
         )
+        return self._news_of_own()
+
+    def tell_own(self) -> tuple[Send, ...]:
+        """Return the own record for every instance that is not given up."""
+        message = self._news_of_own()
+        return tuple(Send(i, message) for i in list(self._members.present.ids()))
+
+    def _news_of_own(self) -> Gossip:
         return Gossip(self._own.instance, False, (self._own,))
 
+    def take_listed(self, listed: Iterable[object]) -> None:
+        """Do nothing: upstreams are told by their own gates."""
+
+    def on_beat(self, beat: Beat) -> bool:
+        """Take no beat: it belongs to the scope of a region."""
+        return False
+
     def merge(self, records: Iterable[MemberRecord]) -> None:
         """Take what a peer believes."""
         for record in records:
--- a/chicorychute/pipeline/filters.py
+++ b/chicorychute/pipeline/filters.py
@@ -31,7 +31,7 @@
             index = routes()
             if index is None:
                 return Refused(Outcome.NOT_RUN, Reason.NO_TABLE)
-            request.row = index.find(request.method, request.path)
+            request.row = index.find(request.method, request.path, request.host)
             if request.row is None:
                 detail = f"no row has a route for {request.method} {request.path}"
                 return Refused(Outcome.NOT_RUN, Reason.NO_ROUTE, detail)
--- /dev/null
+++ b/chicorychute/pipeline/life.py
@@ -0,0 +1,68 @@
+"""Filter that writes one line for the end of each request, with all that decided it."""
+
+from collections.abc import Callable
+
+import structlog
+
+from chicorychute.core.clock import Clock
+from chicorychute.pipeline.values import Answer, Filter, Handler, Reply, Request, Try
+
+SERVER_ERROR = 500
+
+logger = structlog.get_logger()
+
+
+def tell_end(clock: Clock, table_version: Callable[[], int]) -> Filter:
+    """Write the end of each caller's request, and of each that a peer passed on."""
+
+    def make(handler: Handler) -> Handler:
+        def run(request: Request) -> Reply:
+            reply = handler(request)
+            elapsed_s = clock.monotonic() - request.received_s
+            _tell(request, reply, elapsed_s, table_version())
+            return reply
+
+        return run
+
+    return make
+
+
+def _tell(request: Request, reply: Reply, elapsed_s: float, version: int) -> None:
+    row = request.row
+    fields = {
+        "id": request.id,
+        "service": "" if row is None else row.service,
+        "rank": "" if row is None else row.rank,
+        "table_version": version,
+        "ms": round(elapsed_s * 1000, 1),
+        "tries": [_shown(made) for made in request.tries],
+    }
+    if request.scope.cancelled:
+        fields["caller_left"] = True
+    if isinstance(reply, Answer):
+        tell = logger.warning if reply.status >= SERVER_ERROR else logger.info
+        tell(
+            "request: answered", status=reply.status, upstream=reply.upstream, **fields
+        )
+        return
+    logger.warning(
+        "request: refused",
+        outcome=reply.outcome.value,
+        reason=reply.reason.value,
+        detail=reply.detail,
+        host=request.host,
+        target=request.target,
+        retry_s=round(reply.retry_s, 2),
+        **fields,
+    )
+
+
+def _shown(made: Try) -> dict[str, object]:
+    return {
+        "upstream": made.upstream,
+        "predicted_ms": round(made.predicted_ms, 1),
+        "risk": round(made.risk, 2),
+        "may_wait": made.may_wait,
+        "ms": round(made.elapsed_s * 1000, 1),
+        "end": made.end,
+    }
--- a/chicorychute/pipeline/once.py
+++ b/chicorychute/pipeline/once.py
@@ -119,10 +119,10 @@
         return run
 
     def filter(self, handler: Handler) -> Handler:
-        """Let idempotent requests through and rule on the others."""
+        """Rule on orders, which name their home, and let all else through."""
 
         def run(request: Request) -> Reply:
-            if request.routing or request.row.repeat is RepeatPolicy.IDEMPOTENT:
+            if request.routing or request.row.repeat is not RepeatPolicy.ONCE:
                 return handler(request)
             request.ruled = True
             match parse_key(request.key):
@@ -137,7 +137,7 @@
         return run
 
     def _may_be_order(self, request: Request) -> bool:
-        if request.row is not None and request.row.repeat is RepeatPolicy.IDEMPOTENT:
+        if request.row is not None and request.row.repeat is not RepeatPolicy.ONCE:
             return False
         return may_name_order(request.key)
 
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -70,6 +70,28 @@
         self._body.close()
 
 
+@attrs.frozen
+class Try:
+    """One send of a request to a gate, and what decided it.
+
+    Attributes
+    ----------
+    predicted_ms : float
+        Time to an answer by which the gate was chosen.
+    risk : float
+        Probability of a failure that the gate had told, 0 to 1.
+    end : str
+        Status, or reason and outcome.
+    """
+
+    upstream: str
+    predicted_ms: float
+    risk: float
+    may_wait: bool
+    elapsed_s: float
+    end: str
+
+
 @attrs.define
 class Request:
     """One request at its entry.
@@ -92,6 +114,14 @@
         Whether the home of the order has ruled on it, or was asked to.
     routing : bool
         Whether a peer without detail on the service passed it on for its routing.
+    id : str
+        Names the request in the logs of every daemon.
+    host : str
+        Host that the caller asked for.
+    may_wait : bool
+        Whether the gate under way may queue the request.
+    tries : list of Try
+        Sends to gates so far.
     """
 
     method: str
@@ -110,6 +140,10 @@
     scope: CancelScope = attrs.field(factory=CancelScope)
     ruled: bool = False
     routing: bool = False
+    id: str = ""
+    host: str = ""
+    may_wait: bool = True
+    tries: list[Try] = attrs.field(factory=list)
 
     @property
     def path(self) -> str:
@@ -136,11 +170,21 @@
 
 @attrs.frozen
 class Refused:
-    """End of a request without an upstream's answer."""
+    """End of a request without an upstream's answer.
+
+    Attributes
+    ----------
+    retry_s : float
+        Time after which there is likely to be room, 0 where nothing tells.
+    risk : float
+        Probability that a request sent to the gate that refused fails, 0 to 1.
+    """
 
     outcome: Outcome
     reason: Reason
     detail: str = ""
+    retry_s: float = 0.0
+    risk: float = 0.0
 
 
 Reply = Answer | Refused
--- /dev/null
+++ b/chicorychute/platform/store.py
@@ -0,0 +1,110 @@
+"""Client of the platform's store; it only reads."""
+
+from urllib.parse import urlencode
+
+import urllib3
+from result import Err, Ok, Result
+
+from chicorychute.platform.wire import (
+    StoreItem,
+    StorePage,
+    WireError,
+    read_events,
+    read_item,
+    read_page,
+)
+from chicorychute.sources.base import PlatformError
+from chicorychute.telemetry.tally import Tally
+
+CONNECT_TIMEOUT_S = 1.0  # the store answers in milliseconds, 60 ms from elsewhere
+READ_TIMEOUT_S = 2.0  # below the 2.5 s in which a change must be in force
+NOT_FOUND = 404
+GONE = 410
+
+
+class HistoryGone(PlatformError):
+    """The changes since a revision are no longer kept: read the items again."""
+
+
+class StoreClient:
+    """Calls of the store, each answered or ended by a `PlatformError`.
+
+    Parameters
+    ----------
+    url : str
+        ``http://host:port``.
+    """
+
+    def __init__(self, url: str):
+        self._url = url
+        self._pool = urllib3.PoolManager(retries=False)
+        self.calls = Tally()
+
+    def key(self, key: str) -> Result[tuple[StoreItem, int] | None, PlatformError]:
+        """Return one item with the store's revision, None where there is none."""
+        return self._call("kv-key", {"key": key}, read_item, NOT_FOUND)
+
+    def items(self, prefix: str, stale: bool) -> Result[list[StorePage], PlatformError]:
+        """Return every page of the items whose keys begin with `prefix`.
+
+        Parameters
+        ----------
+        stale : bool
+            Whether what is seconds old will do; such a call costs a tenth.
+        """
+        pages: list[StorePage] = []
+        query = {"path_prefix": prefix}
+        if stale:
+            query["allow_stale"] = "1"
+        while not pages or not pages[-1].is_last:
+            match self._call("kv-range", query, read_page):
+                case Ok(page):
+                    pages.append(page)
+                case Err(error):
+                    return Err(error)
+            if not page.items:
+                break
+            query["after"] = page.items[-1].key
+        return Ok(pages)
+
+    def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[tuple[StorePage, tuple[str, ...]], PlatformError]:
+        """Return what changed since revision `after`, at most `wait_s` later.
+
+        Returns
+        -------
+        Ok of the items written and the keys removed; Err of HistoryGone where the
+        store has dropped these changes
+        """
+        query = {
+            "path_prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        return self._call("kv-watch", query, read_events, wait_s=wait_s)
+
+    def _call(self, name, query, read, none_status: int = 0, wait_s: float = 0.0):
+        url = f"{self._url}/chicorychute/{name}?{urlencode(query, safe='/')}"
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=wait_s + READ_TIMEOUT_S
+        )
+        try:
+            answer = self._pool.request("GET", url, timeout=timeout)
+        except urllib3.exceptions.HTTPError as error:
+            self.calls.add(name, "unreachable")
+            problem = f"the store is unreachable ({type(error).__name__})"
+            return Err(PlatformError(problem, "wait for it"))
+        self.calls.add(name, str(answer.status))
+        if none_status and answer.status == none_status:
+            return Ok(None)
+        if answer.status == GONE:
+            return Err(HistoryGone("the store dropped its history", "read it again"))
+        if answer.status != 200:
+            problem = f"the store answered {answer.status}"
+            return Err(PlatformError(problem, "wait for it"))
+        try:
+            return Ok(read(answer.data))
+        except WireError as error:
+            problem = f"the store gave a malformed answer ({error})"
+            return Err(PlatformError(problem, "correct what it serves"))
--- /dev/null
+++ b/chicorychute/platform/wire.py
@@ -0,0 +1,313 @@
+"""Reads the platform's JSON into types whose fields say what they hold."""
+
+import base64
+import json
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from chicorychute.core.exceptions import ChuteError
+
+UPSTREAM_PREFIX = "servers/"
+CONFIG_KEY = "op/config"
+MS_BY_UNIT = {"ms": 1.0, "s": 1000.0}
+STATES = {"ready": False, "draining": True}  # whether it leaves, by name
+
+_is_duration = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)").fullmatch
+_is_version = re.compile(r"r([0-9]{1,18})").fullmatch
+
+
+class WireError(ChuteError):
+    """What the platform holds is not in its published form."""
+
+
+@attrs.frozen
+class StoreItem:
+    """One value of the store.
+
+    Attributes
+    ----------
+    changed_at : int
+        Revision of the store at the last change; on the wire ``rev``.
+    """
+
+    key: str
+    value: bytes
+    changed_at: int
+
+
+@attrs.frozen
+class StorePage:
+    """Items of one call, which are no snapshot.
+
+    Attributes
+    ----------
+    store_revision : int
+        Revision of the whole store at the call; on the wire ``current_rev``.
+    is_last : bool
+        Whether no page follows; the opposite of ``truncated``.
+    unreadable : tuple of str
+        Keys of items that are not in the store's form.
+    """
+
+    items: tuple[StoreItem, ...]
+    store_revision: int
+    is_last: bool
+    unreadable: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class RoutePart:
+    """Service that takes a part of a route's requests; on the wire in ``split``."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class RouteCells:
+    """One route of the operators' configuration.
+
+    Attributes
+    ----------
+    path_prefix : str
+        Begins and ends with a slash.
+    repeatable : bool
+        Whether a request may run more than once; on the wire kind ``safe``.
+    timeout_ms : float
+        Longest time that a request may be kept waiting.
+    target_ms : float
+        Time in which an answer earns its full credit; on the wire ``goal``.
+    urgency : int
+        0 is the most urgent; on the wire ``priority``.
+    attempts : int
+        Most upstreams that one request may reach.
+    """
+
+    host: str
+    path_prefix: str
+    repeatable: bool
+    timeout_ms: float
+    target_ms: float
+    urgency: int
+    attempts: int
+    parts: tuple[RoutePart, ...]
+
+
+@attrs.frozen
+class ConfigCells:
+    """The operators' whole configuration.
+
+    Attributes
+    ----------
+    version : int
+        On the wire ``revision``, as ``r`` and the number.
+    probe_by_service : dict
+        Path of each service's health check; on the wire ``health_path``.
+    idle_ms : float
+        Time that a caller may leave a connection idle.
+    """
+
+    version: int
+    routes: tuple[RouteCells, ...]
+    probe_by_service: dict[str, str]
+    idle_ms: float
+
+
+@attrs.frozen
+class UpstreamEntry:
+    """One start of an upstream as it registered itself.
+
+    Attributes
+    ----------
+    cold_ms : float
+        Time for which it is still slow; on the wire ``cold_left``.
+    started_ms : int
+        Unix time of its start, 0 where it is not told; on the wire ``born``.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold_ms: float
+    started_ms: int
+
+
+def duration_ms(text: Any) -> float:
+    """Return the milliseconds of a text such as ``1500ms`` or ``2.5s``.
+
+    Raises
+    ------
+    WireError
+        If it is none.
+    """
+    found = _is_duration(text) if isinstance(text, str) else None
+    if found is None:
+        raise WireError(f"{text!r} is no duration", "write it as 1500ms or 2.5s")
+    return float(found[1]) * MS_BY_UNIT[found[2]]
+
+
+def read_page(data: bytes) -> StorePage:
+    """Read the answer to a range call."""
+    body = _object(data)
+    items = []
+    unreadable = []
+    for given in body.get("items", []):
+        try:
+            items.append(_item(given))
+        except WireError:
+            unreadable.append(str(given)[:80])
+    truncated = body.get("truncated", False) is True
+    revision = _whole(body, "current_rev")
+    return StorePage(tuple(items), revision, not truncated, tuple(unreadable))
+
+
+def read_item(data: bytes) -> tuple[StoreItem, int]:
+    """Read the answer to a call for one key; also returns the store's revision."""
+    body = _object(data)
+    return _item(body), _whole(body, "current_rev")
+
+
+def read_events(data: bytes) -> tuple[StorePage, tuple[str, ...]]:
+    """Read the answer to a watch; also returns the keys that were removed."""
+    body = _object(data)
+    written = []
+    removed = []
+    for event in body.get("events", []):
+        if isinstance(event, dict) and event.get("removed") is True:
+            removed.append(str(event.get("key", "")))
+        else:
+            written.append(_item(event))
+    page = StorePage(tuple(written), _whole(body, "current_rev"), True)
+    return page, tuple(removed)
+
+
+def read_config(value: bytes) -> ConfigCells:
+    """Read the value under the configuration's key.
+
+    Raises
+    ------
+    WireError
+        If it is not in its published form.
+    """
+    body = _object(value)
+    found = _is_version(str(body.get("revision")))
+    if found is None:
+        raise WireError("the configuration has no version", "publish it again")
+    limits = body.get("limits") or {}
+    services = _rows(body.get("services"))
+    return ConfigCells(
+        int(found[1]),
+        tuple(_route(row) for row in _rows(body.get("routes"))),
+        {_text(row, "name"): row.get("health_path") or "" for row in services},
+        duration_ms(limits.get("idle_timeout", "0ms")),
+    )
+
+
+def read_upstream(item: StoreItem) -> UpstreamEntry:
+    """Read what an upstream registered under its key.
+
+    Raises
+    ------
+    WireError
+        If a field is missing or of another type, or the state is unknown.
+    """
+    body = _object(item.value)
+    info = _part(body, "info")
+    status = _part(body, "status")
+    state = status.get("state")
+    if not isinstance(state, str) or state not in STATES:
+        raise WireError(f"state {state!r} is unknown", "ignore the entry")
+    started_ms = body.get("born", 0)
+    if type(started_ms) is not int:
+        raise WireError("the start is no whole number", "ignore the entry")
+    _whole(status, "seq")
+    address = _text(body, "address")
+    if not address.rpartition(":")[2].isdigit():
+        raise WireError(f"{address!r} is no address", "ignore the entry")
+    return UpstreamEntry(
+        item.key.removeprefix(UPSTREAM_PREFIX),
+        _text(info, "service"),
+        address,
+        _text(info, "zone"),
+        _whole(info, "slots"),
+        STATES[state],
+        duration_ms(status.get("cold_left", "0ms")),
+        started_ms,
+    )
+
+
+def _route(row: dict[str, Any]) -> RouteCells:
+    split = row.get("split")
+    parts = (
+        tuple(RoutePart(_text(p, "service"), float(p["weight"])) for p in split)
+        if split
+        else (RoutePart(_text(row, "service"), 0.0),)
+    )
+    timeout_ms = duration_ms(row["timeout"])
+    goal = row.get("goal")
+    return RouteCells(
+        _text(row, "host"),
+        _text(row, "path_prefix"),
+        row.get("kind") == "safe",
+        timeout_ms,
+        timeout_ms if goal is None else duration_ms(goal),
+        row.get("priority") or 0,
+        row.get("attempts") or 1,
+        parts,
+    )
+
+
+def _rows(table: Any) -> Iterator[dict[str, Any]]:
+    """Yield the rows of a list that is written as columns and lists of cells."""
+    if not isinstance(table, dict):
+        raise WireError("a list has no columns and rows", "publish it again")
+    columns = table.get("columns", [])
+    for cells in table.get("rows", []):
+        yield dict(zip(columns, cells, strict=False))
+
+
+def _item(given: Any) -> StoreItem:
+    if not isinstance(given, dict):
+        raise WireError("an item is no object", "ignore it")
+    try:
+        value = base64.b64decode(_text(given, "value"), validate=True)
+    except ValueError as error:
+        raise WireError("a value is no base64 text", "ignore it") from error
+    return StoreItem(_text(given, "key"), value, _whole(given, "rev"))
+
+
+def _object(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise WireError(f"not JSON ({error})", "ignore it") from error
+    if not isinstance(body, dict):
+        raise WireError("no JSON object", "ignore it")
+    return body
+
+
+def _part(body: dict[str, Any], name: str) -> dict[str, Any]:
+    value = body.get(name)
+    if not isinstance(value, dict):
+        raise WireError(f"{name} is missing", "ignore it")
+    return value
+
+
+def _text(body: dict[str, Any], name: str) -> str:
+    value = body.get(name)
+    if not isinstance(value, str) or not value:
+        raise WireError(f"{name} is missing or no text", "ignore it")
+    return value
+
+
+def _whole(body: dict[str, Any], name: str) -> int:
+    value = body.get(name)
+    if type(value) is not int or value < 0:
+        raise WireError(f"{name} is missing or no whole number", "ignore it")
+    return value
--- a/chicorychute/routing/attempts.py
+++ b/chicorychute/routing/attempts.py
@@ -11,6 +11,7 @@
 from chicorychute.table.rows import Repeat
 
 MAX_ATTEMPTS = 3
+MAX_TURNED_AWAY = 12  # gates that may refuse one request before it is given up
 SERVER_ERROR = 500
 
 FINAL_REASONS = frozenset(
@@ -23,6 +24,18 @@
         Reason.TOO_LARGE,
     }
 )
+# Refusals of a gate, or of the way to it: no upstream was reached.
+UNREACHED_REASONS = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.NO_FREE_SLOT,
+        Reason.NO_UPSTREAM,
+        Reason.OVERLOAD,
+        Reason.PEER_LOST,
+        Reason.UPSTREAM_DOUBTED,
+        Reason.UPSTREAM_REFUSED,
+    }
+)
 SEVERITY = {Outcome.NOT_RUN: 0, Outcome.UNKNOWN: 1, Outcome.RAN: 2}
 
 
@@ -66,11 +79,22 @@
         Whether the request may run more than once.
     sent : int
         Attempts made before the request came here, on other hops.
+    most : int
+        Attempts that may reach an upstream; those that a gate turned away before
+        are not counted, and cost no budget.
     """
 
     def __init__(
-        self, repeat: Repeat, budget: RetryBudget, deadline_s: float, sent: int = 0
+        self,
+        repeat: Repeat,
+        budget: RetryBudget,
+        deadline_s: float,
+        sent: int = 0,
+        most: int = MAX_ATTEMPTS,
     ):
+        self._most = most
+        self._turned_away = 0
+        self._paid = False
         self._repeat = repeat
         self._budget = budget
         self._deadline_s = deadline_s
@@ -88,20 +112,21 @@
         A repeated attempt needs the budget of its service, and time for the
         answer that is predicted.
         """
-        if self.sent >= MAX_ATTEMPTS or now_s >= self._deadline_s:
+        if self._spent() or now_s >= self._deadline_s:
             return False
-        if self.sent:
-            if now_s + predicted_s > self._deadline_s:
-                return False
-            if not self._budget.withdraw():
-                return False
+        again = self.sent or self._turned_away
+        if again and now_s + predicted_s > self._deadline_s:
+            return False
+        if self.sent and not self._paid and not self._budget.withdraw():
+            return False
+        self._paid = self.sent > 0
         self.sent += 1
         return True
 
     def on_end(self, end: AttemptEnd, now_s: float) -> Action:
         """Take the end of an attempt; returns what follows."""
         self._note(end)
-        if self.sent >= MAX_ATTEMPTS or now_s >= self._deadline_s:
+        if self._spent() or now_s >= self._deadline_s:
             return Stop()
         return Again() if self._repeatable(end) else Stop()
 
@@ -109,11 +134,19 @@
         """Return the outcome to tell where the last attempt says `outcome`."""
         return max(self._worst, outcome, key=SEVERITY.__getitem__)
 
+    def _spent(self) -> bool:
+        return self.sent >= self._most or self._turned_away > MAX_TURNED_AWAY
+
     def _note(self, end: AttemptEnd) -> None:
         match end:
             case Answered():
+                self._paid = False
                 self._worst = Outcome.RAN
+            case Ended(Outcome.NOT_RUN, reason) if reason in UNREACHED_REASONS:
+                self.sent -= 1
+                self._turned_away += 1
             case Ended(outcome):
+                self._paid = False
                 self._worst = self.told(outcome)
 
     def _repeatable(self, end: AttemptEnd) -> bool:
--- a/chicorychute/routing/budget.py
+++ b/chicorychute/routing/budget.py
@@ -8,14 +8,20 @@
 
 
 class RetryBudget:
-    """Token bucket that each request fills by the table's share."""
+    """Token bucket that each request fills by the table's share.
 
-    def __init__(self) -> None:
-        self._tokens = MAX_SAVED_RETRIES
+    Parameters
+    ----------
+    most : float
+        Retries that may be saved up, and the ones at the start.
+    """
+
+    def __init__(self, most: float = MAX_SAVED_RETRIES) -> None:
+        self._tokens = most
 
-    def deposit(self, share: float) -> None:
+    def deposit(self, share: float, most: float = MAX_SAVED_RETRIES) -> None:
         """Credit one request."""
-        self._tokens = min(self._tokens + share, MAX_SAVED_RETRIES)
+        self._tokens = min(self._tokens + share, most)
 
     def withdraw(self) -> bool:
         """Take one retry; returns False when the budget is spent."""
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -37,7 +37,9 @@
     reason: Reason
 
 
-def predict_ms(candidate: Candidate, sent: int, rank: str = "") -> float:
+def predict_ms(
+    candidate: Candidate, sent: int, rank: str = "", risk_ms: float = 0.0
+) -> float:
     """Return the predicted time to an answer.
 
     Parameters
@@ -46,6 +48,8 @@
         Requests of the rank that this entry has outstanding at the upstream.
     rank : str
         Rank whose wait counts; where the gate tells none, the whole queue does.
+    risk_ms : float
+        Time that a certain failure is worth.
     """
     digest = candidate.digest
     service_ms = max(digest.latency_ms, 1.0)
@@ -57,6 +61,7 @@
     else:
         wait_ms = max(wait_ms, max(0.0, (sent + 1) / capacity - 1) * service_ms)
     predicted = TRAVEL_MS[candidate.distance] + wait_ms + service_ms
+    predicted += digest.risk * risk_ms
     if digest.verdict in EJECTED:
         predicted *= SICK_PENALTY
     return predicted
@@ -77,6 +82,7 @@
     remaining_ms: float = math.inf,
     beyond_allowed: bool = True,
     rank: str = "",
+    risk_ms: float = 0.0,
 ) -> Choice | NoChoice:
     """Choose a gate not tried yet.
 
@@ -95,8 +101,10 @@
         Whether the budget of bytes beyond the region has something left.
     rank : str
         Rank of the request, whose wait each gate tells.
+    risk_ms : float
+        Time that a certain failure is worth.
     """
-    predict = _Predictor(outstanding_by_upstream, rank)
+    predict = _Predictor(outstanding_by_upstream, rank, risk_ms)
     near = []
     far = []
     for candidate in candidates:
@@ -153,7 +161,10 @@
 class _Predictor:
     """Compares candidates for one request."""
 
-    def __init__(self, outstanding_by_upstream: Mapping[str, int], rank: str):
+    def __init__(
+        self, outstanding_by_upstream: Mapping[str, int], rank: str, risk_ms: float
+    ):
+        self._risk_ms = risk_ms
         self._outstanding_by_upstream = outstanding_by_upstream
         self._rank = rank
 
@@ -163,7 +174,7 @@
         best_ms = math.inf
         for candidate in candidates:
             sent = self._outstanding_by_upstream.get(candidate.digest.upstream, 0)
-            predicted_ms = predict_ms(candidate, sent, self._rank)
+            predicted_ms = predict_ms(candidate, sent, self._rank, self._risk_ms)
             if best is None or predicted_ms < best_ms:
                 best = candidate
                 best_ms = predicted_ms
--- a/chicorychute/services/bodies.py
+++ b/chicorychute/services/bodies.py
@@ -2,17 +2,27 @@
 
 from collections.abc import Callable, Iterator
 
+import attrs
 import structlog
 
 from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.health.evidence import Result
-from chicorychute.pipeline.values import AnswerBroken
+from chicorychute.pipeline.values import (
+    AnswerBroken,
+    Body,
+    Refused,
+    Reply,
+    WholeBody,
+)
 from chicorychute.transport.calls import UpstreamCall
-from chicorychute.transport.upstream import UpstreamAnswer, UpstreamFailure
+from chicorychute.transport.upstream import UpstreamAnswer
+from chicorychute.transport.upstream_end import UpstreamFailure
 
 SERVER_ERROR = 500
+SETTLED_BYTES = 64 << 10  # of an answer, read before any of it goes on
 SERVICE_UNAVAILABLE = 503
+REJECTED_REASONS = (Reason.UPSTREAM_BUSY, Reason.UPSTREAM_REPLACED)
 
 logger = structlog.get_logger()
 
@@ -75,6 +85,48 @@
             self._finish(result, self._waited_s, self._size)
 
 
+class _JoinedBody:
+    """Bytes that were read already, then the rest of a body."""
+
+    def __init__(self, data: bytes, rest: Body):
+        self._data = data
+        self._rest = rest
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._data:
+            data, self._data = self._data, b""
+            return data
+        return next(self._rest)
+
+    def close(self) -> None:
+        """Give the rest up."""
+        self._rest.close()
+
+
+def settle(reply: Reply) -> Reply:
+    """Read a short answer whole, so that a broken one can still be refused.
+
+    Nothing of it has gone to the caller yet: an idempotent request may then run
+    elsewhere, and any other gets an honest end in place of a cut connection.
+    """
+    if isinstance(reply, Refused):
+        return reply
+    data = bytearray()
+    try:
+        for chunk in reply.chunks:
+            data += chunk
+            if len(data) > SETTLED_BYTES:
+                rest = _JoinedBody(bytes(data), reply.chunks)
+                return attrs.evolve(reply, chunks=rest)
+    except AnswerBroken as error:
+        return Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
+    length = reply.length if not data else len(data)
+    return attrs.evolve(reply, chunks=WholeBody(bytes(data)), length=length)
+
+
 def result_of(status: int) -> Result:
     """Return how a request ended that got a whole answer of this status."""
     if status == SERVICE_UNAVAILABLE:
@@ -99,5 +151,7 @@
     """Return TIMED_OUT where the request's own deadline ended it."""
     if call.cancelled and failure.reason is not Reason.DEADLINE:
         return Result.CANCELLED
+    if failure.reason in REJECTED_REASONS:
+        return Result.SHED
     timed_out = failure.reason is Reason.DEADLINE
     return Result.TIMED_OUT if timed_out else Result.FAILED
--- a/chicorychute/services/drain.py
+++ b/chicorychute/services/drain.py
@@ -30,6 +30,8 @@
         Longest wait for requests in flight.
     busy : callable
         Returns whether an order still runs whose caller waits no longer.
+    settle_s : float
+        Time for which requests are still taken, in seconds.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         limit_s: float,
         clock: Clock,
         busy: Callable[[], bool] = lambda: False,
+        settle_s: float = SETTLE_S,
     ):
+        self._settle_s = settle_s
         self._leaving = leaving
         self._fleet = fleet
         self._gate = gate
@@ -75,7 +79,7 @@
         """
         end_s = self._clock.monotonic() + self._limit_s
         self.leave()
-        self._cut.wait(min(SETTLE_S, self._limit_s))
+        self._cut.wait(min(self._settle_s, self._limit_s))
         self._leaving.stage = Stage.CLOSING
         while not self._empty() and self._clock.monotonic() < end_s:
             if self._cut.wait(POLL_S):
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -16,7 +16,14 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.orders.homes import NoHome, RelayTo, find_home
 from chicorychute.orders.token import OrderKey
-from chicorychute.pipeline.values import Answer, CountedBody, Refused, Reply, Request
+from chicorychute.pipeline.values import (
+    Answer,
+    CountedBody,
+    Refused,
+    Reply,
+    Request,
+    Try,
+)
 from chicorychute.routing.attempts import (
     Answered,
     AttemptEnd,
@@ -31,8 +38,10 @@
     distance_between,
     eligible,
 )
-from chicorychute.routing.choice import Choice, NoChoice, choose
+from chicorychute.routing.choice import Choice, NoChoice
 from chicorychute.routing.hosts import may_try_another, nearest_hosts
+from chicorychute.routing.placement import Placed, Placement, Told
+from chicorychute.services.bodies import settle
 from chicorychute.services.exchanges import (
     CHUNK_BYTES,
     Exchange,
@@ -45,6 +54,9 @@
 from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import LinkError, LinkHub
 
+LOSS_COST = 2.0  # targets that the failure of a request is worth, where it is final
+REPEAT_COST = 0.5  # and where it is repeated
+ASK_REASONS = (Reason.NO_FREE_SLOT, Reason.UPSTREAM_DOUBTED)
 HEAD_BYTES = 500  # head of a request and of its answer on a link
 
 
@@ -100,26 +112,55 @@
     def _try_gates(self, request: Request, known: Iterable[Candidate]) -> Reply:
         row = request.row
         budget = self._budget(row)
-        attempts = Attempts(row.repeat, budget, request.deadline_s, request.attempt)
-        tried: frozenset[str] = frozenset()
-        reply: Reply = Refused(Outcome.NOT_RUN, Reason.NO_UPSTREAM)
+        attempts = Attempts(
+            row.repeat, budget, request.deadline_s, request.attempt, row.attempts
+        )
+        placement = self._placement(row)
+        reply: Reply = Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         while True:
-            choice = self._choose(request, known, tried)
-            if isinstance(choice, NoChoice):
-                return reply if tried else Refused(Outcome.NOT_RUN, choice.reason)
-            if not self._may_start(attempts, choice):
-                return reply if tried else Refused(Outcome.NOT_RUN, Reason.DEADLINE)
-            _discard(reply)
+            placed = self._place(request, known, placement)
+            if isinstance(placed, NoChoice):
+                refused = Refused(Outcome.NOT_RUN, placed.reason)
+                reply = reply if placement.has_asked else refused
+                return self._last(reply, attempts, placement)
+            if not self._may_start(attempts, placed.choice):
+                return self._last(reply, attempts, placement)
             request.attempt = attempts.sent
-            reply = self._send(request, choice.candidate)
-            tried |= {choice.candidate.digest.upstream}
-            action = attempts.on_end(_end_of(reply), self._clock.monotonic())
-            if isinstance(reply, Refused):
-                reply = attrs.evolve(reply, outcome=attempts.outcome)
+            request.may_wait = placed.may_wait
+            candidate = placed.choice.candidate
+            sent_s = self._clock.monotonic()
+            end = settle(self._send(request, candidate))
+            elapsed_s = self._clock.monotonic() - sent_s
+            request.tries.append(_try_of(placed, elapsed_s, end))
+            _note(placement, candidate.digest.upstream, end)
+            action = attempts.on_end(_end_of(end), self._clock.monotonic())
+            reply = _better(reply, end)
             if isinstance(action, Stop) or request.scope.cancelled:
-                return reply
+                return self._last(reply, attempts, placement)
             known = self._fleet.candidates(row.service)
 
+    def _last(self, reply: Reply, attempts: Attempts, placement: Placement) -> Reply:
+        """Return the end of a request, with what is true of all its attempts."""
+        if isinstance(reply, Answer):
+            return reply
+        return attrs.evolve(
+            reply, outcome=attempts.outcome, retry_s=placement.least_wait_s()
+        )
+
+    def _placement(self, row: Row) -> Placement:
+        risk_ms = (
+            REPEAT_COST * row.target_ms
+            if row.repeat is Repeat.IDEMPOTENT
+            else LOSS_COST * row.target_ms
+        )
+        return Placement(
+            row.rank,
+            row.target_ms,
+            risk_ms,
+            self._outstanding_by_rank[row.rank],
+            self._rng,
+        )
+
     def relay(self, request: Request, key: OrderKey) -> Reply:
         """Pass an order on to its home."""
         record = self._fleet.record_of(key.home.instance)
@@ -153,8 +194,11 @@
 
     def _budget(self, row: Row) -> RetryBudget:
         with self._lock:
-            budget = self._budget_by_service.setdefault(row.service, RetryBudget())
-            budget.deposit(row.retry_share)
+            budget = self._budget_by_service.get(row.service)
+            if budget is None:
+                budget = RetryBudget(row.retry_burst)
+                self._budget_by_service[row.service] = budget
+            budget.deposit(row.retry_share, row.retry_burst)
         return budget
 
     def _may_start(self, attempts: Attempts, choice: Choice) -> bool:
@@ -162,9 +206,9 @@
             now_s = self._clock.monotonic()
             return attempts.may_start(now_s, choice.predicted_ms / 1000)
 
-    def _choose(
-        self, request: Request, known: Iterable[Candidate], tried: frozenset[str]
-    ) -> Choice | NoChoice:
+    def _place(
+        self, request: Request, known: Iterable[Candidate], placement: Placement
+    ) -> Placed | NoChoice:
         row = request.row
         # An order is no request to try a doubtful upstream with.
         draw = self._rng.random() if row.repeat is Repeat.IDEMPOTENT else 1.0
@@ -174,15 +218,7 @@
             beyond_allowed = self._region_budget(row.service).allows(
                 row.cross_region_kbps
             )
-        return choose(
-            candidates,
-            self._outstanding_by_rank[row.rank],
-            tried,
-            self._rng,
-            remaining_s * 1000,
-            beyond_allowed,
-            row.rank,
-        )
+        return placement.next(candidates, remaining_s * 1000, beyond_allowed)
 
     def _region_budget(self, service: str) -> RegionBudget:
         budget = self._region_budget_by_service.get(service)
@@ -244,13 +280,16 @@
         call = UpstreamCall()
         ticket = self._gate.ticket(upstream, work, request.body, request.deadline_s)
         self._gate.submit(upstream, ticket, decisions.put)
-        if request.row.repeat is Repeat.IDEMPOTENT:
-            request.scope.bind(lambda: self._gate.cancel(upstream, ticket, call))
+        if request.row.repeat is not Repeat.ONCE:
+            # What may not be repeated is left to end once it was sent.
+            repeatable = request.row.repeat is Repeat.IDEMPOTENT
+            cut = call if repeatable else UpstreamCall()
+            request.scope.bind(lambda: self._gate.cancel(upstream, ticket, cut))
         match decisions.get():
             case Granted():
                 return self._gate.run(upstream, ticket, work, request.body, call)
-            case QueueRefused(_, reason):
-                return Refused(Outcome.NOT_RUN, reason)
+            case QueueRefused() as refused:
+                return self._gate.refused(upstream, refused, request.id)
 
     def _exchange(
         self,
@@ -277,7 +316,7 @@
         except LinkError as error:
             self._exchanges.close(exchange)
             return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, str(error))
-        if request.row.repeat is Repeat.IDEMPOTENT:
+        if request.row.repeat is not Repeat.ONCE:
             request.scope.bind(lambda: _cancel(exchange))
         return self._exchanges.wait(exchange, request.deadline_s, upstream)
 
@@ -293,6 +332,9 @@
             request.traceparent,
             request.attempt,
             (request.deadline_s - self._clock.monotonic()) * 1000,
+            request.id,
+            request.row.repeat is Repeat.IDEMPOTENT,
+            request.may_wait,
         )
 
 
@@ -301,9 +343,40 @@
         exchange.link.send(Cancel(exchange.id))
 
 
-def _discard(reply: Reply) -> None:
-    if isinstance(reply, Answer):
-        reply.chunks.close()
+def _note(placement: Placement, upstream: str, reply: Reply) -> None:
+    """Tell the placement how an attempt at an upstream ended."""
+    asked = isinstance(reply, Refused) and reply.reason in ASK_REASONS
+    if asked:
+        placement.asked(upstream, Told(reply.retry_s * 1000, reply.risk))
+    else:
+        placement.close(upstream)
+
+
+def _try_of(placed: Placed, elapsed_s: float, end: Reply) -> Try:
+    digest = placed.choice.candidate.digest
+    text = (
+        str(end.status)
+        if isinstance(end, Answer)
+        else f"{end.reason.value}, {end.outcome.value}"
+    )
+    return Try(
+        digest.upstream,
+        placed.choice.predicted_ms,
+        digest.risk,
+        placed.may_wait,
+        elapsed_s,
+        text,
+    )
+
+
+def _better(held: Reply, newest: Reply) -> Reply:
+    """Return what to answer: an upstream's answer goes before any refusal."""
+    match held, newest:
+        case Answer(), Refused():
+            return held
+        case Answer(), Answer():
+            held.chunks.close()
+    return newest
 
 
 def _end_of(reply: Reply) -> AttemptEnd:
--- a/chicorychute/services/exchanges.py
+++ b/chicorychute/services/exchanges.py
@@ -98,9 +98,9 @@
             self.cancel(exchange)
             return Refused(Outcome.UNKNOWN, Reason.DEADLINE, "no answer in time")
         match part:
-            case Refusal(_, outcome, reason, detail):
+            case Refusal(_, outcome, reason, detail, wait_ms, risk):
                 self.close(exchange)
-                return Refused(outcome, reason, detail)
+                return Refused(outcome, reason, detail, wait_ms / 1000, risk)
             case AnswerHead(_, status, headers, length):
                 chunks = _RemoteBody(self, exchange, part, deadline_s)
                 return Answer(status, headers, length, chunks, upstream)
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from chicorychute.core.messages import (
+    Beat,
     DigestUpdate,
     Gossip,
     MemberRecord,
@@ -18,17 +19,22 @@
 )
 from chicorychute.membership.readers import readers
 from chicorychute.membership.view import MembershipView, Send
-from chicorychute.platform.base import ListedInstance, PlatformBackend
-from chicorychute.platform.pacing import ReadPace
 from chicorychute.routing.candidates import PRESENT, Candidate, distance_between
 from chicorychute.services.senders import Address, Senders
+from chicorychute.sources.base import ListedInstance, ListedUpstream, PlatformBackend
+from chicorychute.sources.pacing import ReadPace
 from chicorychute.transport.links import Link
 
+LAPSE_S = 3.0  # entries that lapsed in an outage are back about 2 s after it
 SCAN_ROUNDS = 8  # between two looks over all records for readers and strangers
 
 logger = structlog.get_logger()
 
 
+def _ignore_list(upstreams: tuple[ListedUpstream, ...], complete: bool) -> None:
+    """Do nothing with the upstreams of a list."""
+
+
 class FleetService:
     """Thread-safe view of the fleet.
 
@@ -38,6 +44,10 @@
         Pace of the reads of the platform's list.
     on_listed_leaving : callable
         Called once when the platform's list tells the own instance to leave.
+    on_listed : callable, optional
+        Takes every listed upstream and whether the list is complete.
+    all_read : bool
+        Whether every daemon reads the platform, not a few of each zone.
     """
 
     def __init__(
@@ -49,7 +59,11 @@
         pace: ReadPace,
         rng: random.Random,
         on_listed_leaving: Callable[[], None],
+        on_listed: Callable[[tuple[ListedUpstream, ...], bool], None] = _ignore_list,
+        all_read: bool = False,
     ):
+        self._on_listed = on_listed
+        self._all_read = all_read
         self._view = view
         self._platform = platform
         self._seeds = set(seeds)
@@ -176,14 +190,26 @@
     def leave(self) -> None:
         """Tell every live peer that this instance takes no new work."""
         with self._changing():
-            message = self._view.leave()
-        for record, status in self.snapshot():
-            if status is not MemberStatus.DEAD and record is not self._view.own:
-                self._senders.send((record.host, record.peer_port), message)
+            self._view.leave()
+            sends = self._view.tell_own()
+        self._send_all(sends)
+
+    def tell_own(self) -> None:
+        """Tell every live peer the own record at once."""
+        with self._changing():
+            sends = self._view.tell_own()
+        self._send_all(sends)
+
+    def on_beat(self, link: Link, beat: Beat) -> None:
+        """Take a peer's beat, and answer one that knows nothing of this daemon."""
+        with self._changing():
+            asked = self._view.on_beat(beat)
+        if asked:
+            self.tell_own()
 
     def reads_platform(self) -> bool:
         """Return whether this daemon reads the platform for its zone."""
-        return self._reader
+        return self._all_read or self._reader
 
     def _is_reader(self) -> bool:
         own = self._view.own
@@ -200,8 +226,11 @@
             return
         match self._platform.read_instances():
             case Ok(listed):
+                complete = self._pace.calm_s > LAPSE_S
                 self._pace.succeeded()
                 self._take_list(listed)
+                upstreams = tuple(u for item in listed for u in item.upstreams)
+                self._on_listed(upstreams, complete)
             case Err(error):
                 self._pace.failed()
                 logger.warning("fleet: the list can't be read", error=str(error))
@@ -211,6 +240,7 @@
         leaving = [item.instance for item in listed if item.leaving]
         staying = [item.instance for item in listed if not item.leaving]
         with self._changing():
+            self._view.take_listed(listed)
             must_leave = self._view.merge_list(leaving, staying)
             self._listed = frozenset(
                 (item.host, item.peer_port)
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+import structlog
 
 from chicorychute.admission.quarantine import Quarantine, fingerprint
 from chicorychute.admission.queue import (
@@ -16,9 +17,11 @@
 )
 from chicorychute.conf.settings import UpstreamSettings
 from chicorychute.core.clock import Clock
-from chicorychute.core.messages import QuarantineNotice, UpstreamDigest, Work
+from chicorychute.core.messages import QuarantineNotice, UpstreamDigest, Verdict, Work
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.core.workers import WorkerPool
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
+from chicorychute.health.gray import GrayEstimate
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, Refused, Reply
@@ -28,19 +31,25 @@
     result_of,
     result_of_failure,
 )
+from chicorychute.services.places import PlaceChange, UpstreamPlace, address_of
 from chicorychute.services.recorder import NoRecorder
 from chicorychute.services.slots import UpstreamSlots
-from chicorychute.services.workers import WorkerPool
+from chicorychute.sources.base import ListedUpstream
 from chicorychute.table.rows import Table
 from chicorychute.telemetry.tracing import Tracing
 from chicorychute.transport.calls import UpstreamCall, is_listening, tracked
-from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
+from chicorychute.transport.dialect import Dialect
+from chicorychute.transport.upstream import UpstreamClient
+from chicorychute.transport.upstream_end import UpstreamFailure
 
 POOL_THREADS = 256
+DOUBT_RISK = 0.45  # half of the failures of a gray episode: as likely gray as not
 BODY_STATUSES = frozenset((200, 201, 203, 206))  # answers that should have a body
 
 Starter = Callable[[Decision], None]
 
+logger = structlog.get_logger()
+
 
 @attrs.define
 class _Upstream:
@@ -48,8 +57,16 @@
     slots: UpstreamSlots
     judge: UpstreamJudge
     client: UpstreamClient
+    probe: str
+    place: UpstreamPlace
+    gray: GrayEstimate
+    told_verdict: Verdict = Verdict.COLD
     telling: threading.Lock = attrs.field(factory=threading.Lock)
 
+    @property
+    def service(self) -> str:
+        return self.place.service or self.settings.service
+
 
 class GateService:
     """Runs requests at the local upstreams, by rank and within their slots.
@@ -62,6 +79,10 @@
         Requests that crashed upstreams.
     tell : callable
         Sends notices of crashes to every peer.
+    dialect : Dialect, optional
+        Names what upstreams get and answer.
+    listed : bool
+        Whether an upstream takes work only while the platform's list names it.
     """
 
     def __init__(
@@ -73,7 +94,10 @@
         quarantine: Quarantine,
         tell: Callable[[tuple[QuarantineNotice, ...]], None],
         recorder: NoRecorder | None = None,
+        dialect: Dialect | None = None,
+        listed: bool = False,
     ):
+        self._dialect = Dialect() if dialect is None else dialect
         self._clock = clock
         self._tracing = tracing
         self._peer_digests = peer_digests
@@ -81,6 +105,7 @@
         self._tell = tell
         self._recorder = recorder or NoRecorder()
         self._lock = threading.Lock()
+        self._table: Table | None = None
         self._starter_by_ticket: dict[Ticket, Starter] = {}
         self._pool = WorkerPool("gate", POOL_THREADS)
         self._upstream_by_id = {
@@ -88,7 +113,10 @@
                 settings,
                 UpstreamSlots(settings.id, clock, quarantine),
                 UpstreamJudge(clock, cold=True),
-                UpstreamClient(settings.url, POOL_THREADS, clock),
+                UpstreamClient(settings.url, POOL_THREADS, clock, self._dialect),
+                settings.probe,
+                UpstreamPlace(address_of(settings.url), listed),
+                GrayEstimate(clock),
             )
             for settings in upstreams
         }
@@ -97,12 +125,60 @@
         """Take the cells of a new table."""
         self._recorder.table(table.text)
         with self._lock:
+            self._table = table
             for upstream in self._upstream_by_id.values():
-                rows = table.by_service.get(upstream.settings.service, ())
-                upstream.slots.configure(rows)
-                upstream.judge.sensitivity = max(
-                    (row.sensitivity for row in rows), default=1.0
-                )
+                self._configure(upstream)
+
+    def _configure(self, upstream: _Upstream) -> None:
+        """Give an upstream the cells of its service."""
+        if self._table is None:
+            return
+        rows = self._table.by_service.get(upstream.service, ())
+        upstream.slots.configure(rows, upstream.place.slots)
+        upstream.judge.sensitivity = max((row.sensitivity for row in rows), default=1.0)
+        probe = next((row.probe for row in rows if row.probe), "")
+        upstream.probe = probe or upstream.settings.probe
+
+    def take_list(self, listed: Iterable[ListedUpstream], complete: bool) -> bool:
+        """Take what the platform's list says of the local upstreams.
+
+        Parameters
+        ----------
+        complete : bool
+            Whether an upstream that is missing is gone; entries that lapsed in an
+            outage of the platform come back a little later.
+
+        Returns
+        -------
+        bool
+            Whether an upstream began or ceased to take work.
+        """
+        listed = tuple(listed)
+        changed = False
+        for upstream in self._upstream_by_id.values():
+            with self._lock:
+                change = upstream.place.take(listed, complete)
+                if change is PlaceChange.REPLACED:
+                    upstream.slots.restarted()
+                    upstream.judge = UpstreamJudge(self._clock, cold=True)
+                    upstream.gray.restart()
+                    self._configure(upstream)
+            if change is not PlaceChange.NONE:
+                changed = True
+                self._log_place(upstream, change)
+        return changed
+
+    def _log_place(self, upstream: _Upstream, change: PlaceChange) -> None:
+        place = upstream.place
+        logger.info(
+            "gate: the list changed an upstream",
+            upstream=upstream.settings.id,
+            change=change.value,
+            incarnation=place.incarnation,
+            service=upstream.service,
+            slots=place.slots,
+            takes_work=place.takes_work,
+        )
 
     def digests(self) -> tuple[UpstreamDigest, ...]:
         """Return load and health of every local upstream."""
@@ -111,7 +187,7 @@
             return tuple(
                 UpstreamDigest(
                     upstream.settings.id,
-                    upstream.settings.service,
+                    upstream.service,
                     upstream.judge.verdict(),
                     upstream.slots.slots,
                     upstream.slots.in_flight,
@@ -122,10 +198,16 @@
                     upstream.judge.suspicion,
                     upstream.judge.rank_digests(),
                     upstream.slots.waits(),
+                    upstream.gray.risk(),
                 )
                 for upstream in self._upstream_by_id.values()
+                if upstream.place.takes_work
             )
 
+    def service_of(self, upstream_id: str) -> str:
+        """Return the service that an upstream belongs to now."""
+        return self._upstream_by_id[upstream_id].service
+
     def reason_of(self, upstream_id: str) -> str:
         """Return why an upstream was ejected, empty if it was not."""
         return self._upstream_by_id[upstream_id].judge.reason
@@ -144,8 +226,22 @@
                 decisions = upstream.slots.advance()
             id = upstream.settings.id
             self._recorder.verdict(id, verdict, upstream.judge.reason)
+            if verdict is not upstream.told_verdict:
+                self._tell_verdict(upstream, verdict)
             self._deliver(id, decisions)
 
+    def _tell_verdict(self, upstream: _Upstream, verdict: Verdict) -> None:
+        upstream.told_verdict = verdict
+        logger.info(
+            "health: the verdict on an upstream changed",
+            upstream=upstream.settings.id,
+            verdict=verdict.value,
+            reason=upstream.judge.reason,
+            failure_share=round(upstream.judge.failure_share, 2),
+            latency_ms=round(upstream.judge.latency_s * 1000, 1),
+            risk=round(upstream.gray.risk(), 2),
+        )
+
     def ticket(
         self, upstream_id: str, work: Work, body: bytes, deadline_s: float
     ) -> Ticket:
@@ -155,23 +251,53 @@
             return Ticket(work.rank, deadline_s, work.team)
         mark = fingerprint(work.service, work.method, work.target, body)
         with self._lock:
-            return upstream.slots.ticket(work.rank, deadline_s, work.team, mark)
+            return upstream.slots.ticket(
+                work.rank, deadline_s, work.team, mark, work.may_wait
+            )
 
     def submit(self, upstream_id: str, ticket: Ticket, starter: Starter) -> None:
         """Ask for a slot; `starter` is called once with the decision, maybe later."""
         upstream = self._upstream_by_id.get(upstream_id)
-        if upstream is None:
+        if upstream is None or not upstream.place.takes_work:
             starter(QueueRefused(ticket, Reason.NO_UPSTREAM))
             return
         self._recorder.arrived(upstream_id, ticket.rank, ticket.deadline_s)
         with self._lock:
-            decision = upstream.slots.submit(ticket)
+            if not ticket.may_wait and upstream.gray.risk() > DOUBT_RISK:
+                decision = QueueRefused(ticket, Reason.UPSTREAM_DOUBTED)
+            else:
+                decision = upstream.slots.submit(ticket)
             if isinstance(decision, Queued):
                 self._starter_by_ticket[ticket] = starter
                 return
         self._record_refusal(upstream_id, decision)
         starter(decision)
 
+    def refused(
+        self, upstream_id: str, decision: QueueRefused, request_id: str
+    ) -> Refused:
+        """Return the refusal of a ticket with the wait and risk at its upstream."""
+        upstream = self._upstream_by_id.get(upstream_id)
+        if upstream is None:
+            return Refused(Outcome.NOT_RUN, decision.reason)
+        with self._lock:
+            wait_s = upstream.slots.wait_s(decision.ticket.rank)
+            risk = upstream.gray.risk()
+            load = (upstream.slots.in_flight, upstream.slots.queued)
+        logger.info(
+            "request: not taken",
+            id=request_id,
+            upstream=upstream_id,
+            reason=decision.reason.value,
+            in_flight=load[0],
+            queued=load[1],
+            wait_ms=round(wait_s * 1000, 1),
+            risk=round(risk, 2),
+        )
+        return Refused(
+            Outcome.NOT_RUN, decision.reason, retry_s=round(wait_s, 4), risk=risk
+        )
+
     def cancel(self, upstream_id: str, ticket: Ticket, call: UpstreamCall) -> None:
         """Withdraw a request: it is refused if it waits, else its send is cut."""
         upstream = self._upstream_by_id.get(upstream_id)
@@ -211,7 +337,7 @@
     ) -> Reply:
         """Send a granted request to its upstream and release its slot at the end."""
         upstream = self._upstream_by_id[upstream_id]
-        refusal = self._start(upstream, ticket, call)
+        refusal = self._start(upstream, ticket, call, work)
         if refusal is not None:
             return Refused(Outcome.NOT_RUN, refusal)
         started_s = self._clock.monotonic()
@@ -223,7 +349,10 @@
             try:
                 with tracked(call):
                     answer = upstream.client.send(
-                        work, body, ticket.deadline_s - started_s
+                        work,
+                        body,
+                        ticket.deadline_s - started_s,
+                        upstream.place.incarnation,
                     )
             except Exception as error:
                 failure = failure_of(error)
@@ -232,6 +361,8 @@
                 result = result_of_failure(failure, call)
                 observation = Observation(work.rank, result, latency_s)
                 self._finish(upstream, ticket, attempt, observation)
+                end = f"{failure.reason.value}, {failure.outcome.value}"
+                self._tell_run(upstream, work, latency_s, end, failure.detail)
                 return _refusal_of(failure, call)
         with self._lock:
             upstream.judge.answered(attempt)
@@ -243,15 +374,36 @@
             observation = Observation(work.rank, result, latency_s, seen)
             self._finish(upstream, ticket, attempt, observation, head_s)
 
+        self._tell_run(upstream, work, head_s, str(answer.status))
         chunks = AnswerBody(answer, call, self._clock, head_s, finish)
         return Answer(answer.status, answer.headers, answer.length, chunks, upstream_id)
 
+    def _tell_run(
+        self, upstream: _Upstream, work: Work, ran_s: float, end: str, detail: str = ""
+    ) -> None:
+        logger.info(
+            "request: ran",
+            id=work.id,
+            upstream=upstream.settings.id,
+            incarnation=upstream.place.incarnation,
+            end=end,
+            detail=detail,
+            left_ms=round(work.remaining_ms, 1),
+            ms=round(ran_s * 1000, 1),
+            in_flight=upstream.slots.in_flight,
+            queued=upstream.slots.queued,
+            risk=round(upstream.gray.risk(), 2),
+        )
+
     def _start(
-        self, upstream: _Upstream, ticket: Ticket, call: UpstreamCall
+        self, upstream: _Upstream, ticket: Ticket, call: UpstreamCall, work: Work
     ) -> Reason | None:
         """Return why a granted request may not be sent any more, if so."""
         with self._lock:
-            refusal = upstream.slots.start(ticket, call)
+            if not upstream.place.takes_work or upstream.service != work.service:
+                refusal = Reason.NO_UPSTREAM
+            else:
+                refusal = upstream.slots.start(ticket, call)
             decisions = [] if refusal is None else upstream.slots.drop(ticket)
         if refusal is not None:
             id = upstream.settings.id
@@ -267,10 +419,18 @@
         failure: UpstreamFailure,
     ) -> None:
         """Tell the fleet of a crash before its caller can send the request again."""
-        if failure.reason is Reason.UPSTREAM_REFUSED:
-            with self._lock:
-                upstream.slots.refused()
-            return
+        match failure.reason:
+            case Reason.UPSTREAM_REFUSED:
+                with self._lock:
+                    upstream.slots.refused()
+                return
+            case Reason.UPSTREAM_BUSY:
+                with self._lock:
+                    upstream.slots.shed()
+                return
+            case Reason.UPSTREAM_REPLACED:
+                upstream.place.doubt()
+                return
         lost = failure.reason is Reason.UPSTREAM_LOST and not call.cancelled
         if not lost or is_listening(upstream.settings.url):
             return
@@ -284,7 +444,7 @@
     def probe(self) -> None:
         """Ask each upstream whose health no request shows for its probe path."""
         for upstream in self._upstream_by_id.values():
-            if not upstream.settings.probe:
+            if not (upstream.probe and upstream.place.takes_work):
                 continue
             with self._lock:
                 if not upstream.judge.probe_due():
@@ -295,7 +455,7 @@
     def _run_probe(self, upstream: _Upstream, attempt: Attempt) -> None:
         result = Result.FAILED
         try:
-            work = probe_work(upstream.settings.service, upstream.settings.probe)
+            work = probe_work(upstream.service, upstream.probe)
             answer = upstream.client.send(work, b"", PROBE_TIMEOUT_S)
             for _ in answer.chunks:
                 pass
@@ -308,7 +468,7 @@
 
     def _compare_with_peers(self) -> None:
         for upstream in self._upstream_by_id.values():
-            service = upstream.settings.service
+            service = upstream.service
             peers = self._peer_digests(service)
             with self._lock:
                 upstream.judge.take_peers(peers)
@@ -326,7 +486,12 @@
             upstream.judge.observe(observation, attempt)
             match observation.result:
                 case Result.OK:
+                    upstream.gray.observe(failed=False)
                     upstream.slots.answered(ticket, head_s)
+                case Result.FAILED | Result.EMPTY:
+                    upstream.gray.observe(failed=True)
+                case Result.TIMED_OUT:
+                    upstream.gray.observe_overdue()
                 case Result.SHED:
                     upstream.slots.shed()
             decisions = upstream.slots.finish(ticket, answered=head_s is not None)
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -21,14 +21,16 @@
     Forward,
     Refusal,
     Relay,
+    Work,
 )
 from chicorychute.core.outcomes import Outcome, Reason
+from chicorychute.core.workers import WorkerPool
 from chicorychute.pipeline.cancel import CancelScope
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply, Request
+from chicorychute.services.bodies import settle
 from chicorychute.services.exchanges import CHUNK_BYTES
 from chicorychute.services.gate import GateService
 from chicorychute.services.seats import FULL_DETAIL, ServerSeats
-from chicorychute.services.workers import WorkerPool
 from chicorychute.table.rows import Table
 from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import Link, LinkError
@@ -140,12 +142,14 @@
             match decision:
                 case Granted():
                     self._gate.in_pool(run)
-                case QueueRefused(_, reason):
-                    self._finish(link, incoming, Refused(Outcome.NOT_RUN, reason))
+                case QueueRefused():
+                    refused = self._gate.refused(call.upstream, decision, call.work.id)
+                    self._finish(link, incoming, refused)
 
         self._gate.submit(call.upstream, ticket, start)
         # An order that was sent is left to end: to cut it makes its end unknown.
-        cut = UpstreamCall() if call.work.key else upstream_call
+        left_to_end = call.work.key or not call.work.repeatable
+        cut = UpstreamCall() if left_to_end else upstream_call
         incoming.scope.bind(lambda: self._gate.cancel(call.upstream, ticket, cut))
 
     def _submit_relay(self, link: Link, incoming: _Incoming) -> None:
@@ -168,7 +172,7 @@
 
     def _finish(self, link: Link, incoming: _Incoming, reply: Reply) -> None:
         try:
-            send_reply(link, incoming.call.id, reply)
+            send_reply(link, incoming.call.id, settle(reply))
         finally:
             with self._lock:
                 self._incoming_by_id.pop((link, incoming.call.id), None)
@@ -192,10 +196,16 @@
             ruled=call.routing,
             routing=call.routing,
             scope=incoming.scope,
+            id=work.id,
+            host=_host_of(work),
         )
         self._finish(link, incoming, self._handle(request))
 
 
+def _host_of(work: Work) -> str:
+    return next((value for name, value in work.headers if name == "host"), "")
+
+
 def _send(link: Link, message: object) -> None:
     try:
         link.send(message)
@@ -206,7 +216,11 @@
 def send_reply(link: Link, id: int, reply: Reply) -> None:
     """Send a whole reply; a lost link ends it, the peer knows it as unknown."""
     if isinstance(reply, Refused):
-        _send(link, Refusal(id, reply.outcome, reply.reason, reply.detail))
+        wait_ms = reply.retry_s * 1000
+        refusal = Refusal(
+            id, reply.outcome, reply.reason, reply.detail, wait_ms, reply.risk
+        )
+        _send(link, refusal)
         return
     try:
         _send_answer(link, id, reply)
--- a/chicorychute/services/slots.py
+++ b/chicorychute/services/slots.py
@@ -79,10 +79,19 @@
         """Whether a request runs or waits here; held slots keep nobody waiting."""
         return self.in_flight - len(self._held) + self.queued > 0
 
-    def configure(self, rows: Iterable[Row]) -> None:
-        """Take the cells of a new table."""
+    def configure(self, rows: Iterable[Row], told_slots: int = 0) -> None:
+        """Take the cells of a new table.
+
+        Parameters
+        ----------
+        told_slots : int
+            Slots that the upstream itself told, in place of the cells; 0 for none.
+        """
         rows = tuple(rows)
         slots = max((row.slots for row in rows), default=0)
+        if rows and told_slots:
+            rows = tuple(attrs.evolve(row, slots=told_slots) for row in rows)
+            slots = told_slots
         self._rate_by_rank = {row.rank: row.team_rate for row in rows}
         self._limit.configure(slots)
         self._queue.configure(slots, [_policy(row, slots) for row in rows])
@@ -96,11 +105,20 @@
         )
 
     def ticket(
-        self, rank: str, deadline_s: float, team: str, fingerprint: str
+        self,
+        rank: str,
+        deadline_s: float,
+        team: str,
+        fingerprint: str,
+        may_wait: bool = True,
     ) -> Ticket:
         """Return the ticket of a request, alone if it is suspected of a crash."""
         alone = self._quarantine.rule(fingerprint) is Ruling.ALONE
-        return Ticket(rank, deadline_s, team, alone, fingerprint)
+        return Ticket(rank, deadline_s, team, alone, fingerprint, may_wait)
+
+    def wait_s(self, rank: str) -> float:
+        """Return the wait predicted for a request of a rank that came now."""
+        return self._queue.wait_s(rank)
 
     def submit(self, ticket: Ticket) -> Decision:
         """Grant a slot, queue the request or refuse it."""
@@ -159,6 +177,10 @@
         number = self._run_by_ticket[ticket].number
         return self._quarantine.crashed(self._upstream, number)
 
+    def restarted(self) -> None:
+        """Begin anew for a new start of the upstream."""
+        self._limit = AdaptiveLimit(0, self._clock)
+
     def refused(self) -> None:
         """Note that the upstream takes no connections."""
         self._limit.restarted()
--- a/chicorychute/services/tables.py
+++ b/chicorychute/services/tables.py
@@ -16,10 +16,10 @@
     TableRequest,
     TableUpdate,
 )
-from chicorychute.platform.base import PlatformBackend
-from chicorychute.platform.pacing import ReadPace
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.senders import Senders
+from chicorychute.sources.base import PlatformBackend
+from chicorychute.sources.pacing import ReadPace
 from chicorychute.table.relay import Place, announce_targets
 from chicorychute.table.routes import RouteIndex
 from chicorychute.table.rows import Table
--- /dev/null
+++ b/chicorychute/sources/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of the platform's configuration service and instance list."""
--- a/chicorychute/platform/base.py
+++ b/chicorychute/sources/base.py
@@ -26,6 +26,35 @@
     host: str
     peer_port: int
     leaving: bool
+    upstreams: tuple["ListedUpstream", ...] = ()
+
+
+@attrs.frozen
+class ListedUpstream:
+    """Incarnation of an upstream as the platform's list tells it.
+
+    Attributes
+    ----------
+    id : str
+        Names this start of the upstream, and no other.
+    address : str
+        ``host:port`` at which it listens; a later upstream may reuse it.
+    leaving : bool
+        Whether it takes no new work.
+    cold_s : float
+        Seconds for which it is still slow after its start.
+    started_ms : int
+        Its start in milliseconds of Unix time, 0 where it is not told.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    started_ms: int
 
 
 class PlatformBackend:
--- a/chicorychute/platform/http.py
+++ b/chicorychute/sources/http.py
@@ -10,7 +10,7 @@
 import urllib3
 from result import Err, Ok, Result
 
-from chicorychute.platform.base import (
+from chicorychute.sources.base import (
     ListedInstance,
     PlatformBackend,
     PlatformError,
--- a/chicorychute/platform/pacing.py
+++ b/chicorychute/sources/pacing.py
@@ -1,5 +1,6 @@
 """Pace of reads of the platform: spread at start, backed off while it is down."""
 
+import math
 import random
 
 from chicorychute.core.clock import Clock
@@ -18,18 +19,32 @@
     spread_s : float
         Time over which the first reads of a fleet that starts at once spread;
         the first pause after a failure is no shorter than half of it.
+    longest_s : float
+        Longest pause between reads that fail.
     """
 
     def __init__(
-        self, interval_s: float, spread_s: float, clock: Clock, rng: random.Random
+        self,
+        interval_s: float,
+        spread_s: float,
+        clock: Clock,
+        rng: random.Random,
+        longest_s: float = LONGEST_PAUSE_S,
     ):
+        self._longest_s = longest_s
         self._interval_s = interval_s
+        self._failed_s = -math.inf
         self._clock = clock
         self._rng = rng
         self._first_pause_s = max(FIRST_PAUSE_S, spread_s / 2)
         self._pause_s = self._first_pause_s
         self._next_s = clock.monotonic() + rng.uniform(0, spread_s)
 
+    @property
+    def calm_s(self) -> float:
+        """Seconds since the last read that failed."""
+        return self._clock.monotonic() - self._failed_s
+
     def due(self) -> bool:
         """Return whether a read may start now."""
         return self._clock.monotonic() >= self._next_s
@@ -41,8 +56,9 @@
 
     def failed(self) -> None:
         """Plan the read after one that failed or gave nothing of use."""
+        self._failed_s = self._clock.monotonic()
         self._wait(self._rng.uniform(self._pause_s / 2, self._pause_s))
-        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+        self._pause_s = min(self._longest_s, self._pause_s * 2)
 
     def _wait(self, seconds: float) -> None:
         self._next_s = self._clock.monotonic() + seconds
--- a/chicorychute/table/checks.py
+++ b/chicorychute/table/checks.py
@@ -44,14 +44,21 @@
 
 
 def _check_routes(rows: Sequence[NumberedRow]) -> Iterator[TableFault]:
-    line_by_route: dict[str, int] = {}
+    first_by_route: dict[str, NumberedRow] = {}
     for number, row in rows:
-        for route in row.routes:
-            if route in line_by_route:
-                problem = f"is a route of line {line_by_route[route]} too"
-                hint = "give each route to one row"
+        for position, route in enumerate(row.routes):
+            line, first = first_by_route.setdefault(route, (number, row))
+            again = route in row.routes[:position]
+            if again or (first is not row and not may_share(first, row)):
+                problem = f"is a route of line {line} too"
+                hint = "give each route to one row, or a weight to rows of services"
                 yield TableFault("table.E007", number, "routes", route, problem, hint)
-            line_by_route.setdefault(route, number)
+
+
+def may_share(row: Row, other: Row) -> bool:
+    """Return whether two rows may hold the same route, each for a part of it."""
+    weighted = row.weight > 0 and other.weight > 0
+    return weighted and row.service != other.service
 
 
 def _check_service_cells(rows: Sequence[NumberedRow]) -> Iterator[TableFault]:
--- a/chicorychute/table/columns.py
+++ b/chicorychute/table/columns.py
@@ -1,6 +1,7 @@
 """Columns of the operators' table: how each cell is read and what it means."""
 
 import math
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -10,8 +11,11 @@
 from chicorychute.table.rows import Repeat, Row
 
 ANY_REST = "/*"
+ANY_METHOD = "ANY"
 NAME = "letters, digits, '-', '_' and '.'"
 
+is_host = re.compile(r"[a-z0-9.-]+(:[0-9]{1,5})?").fullmatch
+
 
 @attrs.frozen
 class Column:
@@ -21,6 +25,8 @@
     ----------
     of_service : bool
         Whether every row of a service must hold the same value.
+    optional : bool
+        Whether the column may be left out; its rows then have the default.
     """
 
     name: str
@@ -28,6 +34,7 @@
     accepts: str
     doc: str
     of_service: bool = False
+    optional: bool = False
 
 
 def _number(low: float, high: float) -> Callable[[str], float]:
@@ -62,10 +69,20 @@
     return patterns
 
 
+def _path(cell: str) -> str:
+    if cell and not (cell.startswith("/") and is_word(cell)):
+        raise ValueError(cell)
+    return cell
+
+
 def _is_route(pattern: str) -> bool:
-    method, _, path = pattern.partition(" ")
+    method, _, place = pattern.partition(" ")
     if not (method.isascii() and method.isalpha() and method.isupper()):
         return False
+    host, slash, rest = place.partition("/")
+    if host and not is_host(host):
+        return False
+    path = slash + rest
     fixed = path.removesuffix(ANY_REST) if path.endswith(ANY_REST) else path
     if not is_word(path) or not path.startswith("/"):
         return False
@@ -78,9 +95,11 @@
     Column(
         "routes",
         _routes,
-        "'METHOD /path' patterns parted by ';', a last '/*' for any rest",
+        "'METHOD /path' or 'METHOD host/path' patterns parted by ';', a last '/*' for"
+        " any rest",
         "Requests of this rank. The exact path goes before the longest pattern that"
-        " ends with '/*'; HEAD takes the row of GET where it has none of its own.",
+        " ends with '/*'; HEAD takes the row of GET where it has none of its own. ANY"
+        " stands for every method. The paths of a host are compared as they were sent.",
     ),
     Column(
         "priority",
@@ -110,8 +129,9 @@
     Column(
         "repeat",
         Repeat,
-        "'idempotent' or 'once'",
-        "Whether a request may run more than once; 'once' needs an Idempotency-Key.",
+        "'idempotent', 'once' or 'per-send'",
+        "Whether a request may run more than once; 'once' needs an Idempotency-Key,"
+        " 'per-send' runs each send of a caller at most once without one.",
     ),
     Column(
         "retry_share",
@@ -155,8 +175,48 @@
         "Budget of one daemon for the service's traffic to other regions.",
         of_service=True,
     ),
+    Column(
+        "attempts",
+        _whole(1, 10),
+        "a whole number from 1 to 10",
+        "Most upstreams that one request may reach; 3 where it is left out.",
+        optional=True,
+    ),
+    Column(
+        "retry_burst",
+        _number(0, 1000),
+        "a number from 0 to 1000",
+        "Retries that one daemon saves up for the service; 10 where it is left out.",
+        of_service=True,
+        optional=True,
+    ),
+    Column(
+        "weight",
+        _number(0, 1e6),
+        "a number from 0 to 1000000",
+        "Part of the requests of a route that stands in rows of several services; 0,"
+        " where it is left out, keeps the routes to this row alone.",
+        optional=True,
+    ),
+    Column(
+        "probe",
+        _path,
+        "a path, or nothing",
+        "Path by which the service's upstreams are probed, in place of the settings'.",
+        of_service=True,
+        optional=True,
+    ),
+    Column(
+        "idle_s",
+        _number(0, 3600),
+        "seconds from 0 to 3600",
+        "Time that callers may keep an idle connection, the longest of all rows; 10"
+        " where none is given.",
+        optional=True,
+    ),
 )
-COLUMN_NAMES = tuple(column.name for column in COLUMNS)
+KNOWN_NAMES = tuple(column.name for column in COLUMNS)
+COLUMN_NAMES = tuple(column.name for column in COLUMNS if not column.optional)
 
 
 def cell_of(row: Row, column: str) -> str:
--- a/chicorychute/table/diff.py
+++ b/chicorychute/table/diff.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from chicorychute.table.columns import COLUMN_NAMES, cell_of
+from chicorychute.table.columns import KNOWN_NAMES, cell_of
 from chicorychute.table.rows import Row, Table
 
 
@@ -43,7 +43,7 @@
         if held is None:
             changes.append(RowAdded(row))
             continue
-        for column in COLUMN_NAMES:
+        for column in KNOWN_NAMES:
             before, after = cell_of(held, column), cell_of(row, column)
             if before != after:
                 changes.append(CellChanged(row, column, before, after))
--- a/chicorychute/table/edits.py
+++ b/chicorychute/table/edits.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from chicorychute.table.checks import check_rows
+from chicorychute.table.checks import check_rows, may_share
 from chicorychute.table.parse import (
     BYTE_ORDER_MARK,
     RowReader,
@@ -111,5 +111,9 @@
 
 def _meets(changed: list[Row], others: Iterable[Row]) -> bool:
     """Return whether a route of the changed services belongs to another one too."""
-    routes = {route for row in changed for route in row.routes}
-    return bool(routes) and not all(routes.isdisjoint(row.routes) for row in others)
+    row_by_route = {route: row for row in changed for route in row.routes}
+    return any(
+        route in row_by_route and not may_share(row_by_route[route], row)
+        for row in others
+        for route in row.routes
+    )
--- a/chicorychute/table/parse.py
+++ b/chicorychute/table/parse.py
@@ -8,7 +8,12 @@
 from result import Err, Ok, Result
 
 from chicorychute.table.checks import check_rows
-from chicorychute.table.columns import COLUMN_NAMES, COLUMNS, Column
+from chicorychute.table.columns import (
+    COLUMN_NAMES,
+    COLUMNS,
+    KNOWN_NAMES,
+    Column,
+)
 from chicorychute.table.exceptions import TableFault
 from chicorychute.table.rows import Row, Table
 
@@ -110,7 +115,7 @@
 def _check_header(header: list[str]) -> list[TableFault]:
     faults = []
     for position, name in enumerate(header):
-        if name not in COLUMN_NAMES:
+        if name not in KNOWN_NAMES:
             problem, hint = "is not a known column", "remove it or correct its name"
             faults.append(_header_fault(name, problem, hint))
         elif name in header[:position]:
@@ -129,6 +134,7 @@
 
     def __init__(self, header: list[str]):
         self._header = header
+        self._columns = [column for column in COLUMNS if column.name in header]
         self._value_by_cell: dict[tuple[str, str], Any] = {}
 
     def read(self, line: Line) -> tuple[Row | None, list[TableFault]]:
@@ -139,7 +145,7 @@
         cell_by_name = dict(zip(self._header, line.cells, strict=False))
         values = {}
         faults = []
-        for column in COLUMNS:
+        for column in self._columns:
             cell = cell_by_name[column.name]
             try:
                 values[column.name] = self._value(column, cell)
--- a/chicorychute/table/routes.py
+++ b/chicorychute/table/routes.py
@@ -1,8 +1,10 @@
-"""Finds the row of a request by method and path."""
+"""Finds the rows of a request by method, host and path."""
 
 import re
 
-from chicorychute.table.columns import ANY_REST
+import attrs
+
+from chicorychute.table.columns import ANY_METHOD, ANY_REST
 from chicorychute.table.rows import Row, Table
 
 UNRESERVED = frozenset(
@@ -14,6 +16,32 @@
 _escapes = re.compile(r"%([0-9A-Fa-f]{2})")
 
 
+@attrs.define
+class SharedRoute:
+    """Rows that divide the requests of one route by their weights.
+
+    Smooth weighted round robin keeps each part within one request of its weight.
+    """
+
+    rows: tuple[Row, ...]
+    _credits: list[float] = attrs.field(init=False)
+
+    @_credits.default
+    def _no_credits(self) -> list[float]:
+        return [0.0] * len(self.rows)
+
+    def next(self) -> Row:
+        """Return the row that takes the next request."""
+        if len(self.rows) == 1:
+            return self.rows[0]
+        total = sum(row.weight for row in self.rows)
+        for index, row in enumerate(self.rows):
+            self._credits[index] += row.weight
+        chosen = max(range(len(self.rows)), key=self._credits.__getitem__)
+        self._credits[chosen] -= total
+        return self.rows[chosen]
+
+
 class RouteIndex:
     """Lookup of rows by route, exact paths before the longest prefix.
 
@@ -22,30 +50,54 @@
 
     A path that an upstream could read as another one has no route, so that no
     caller can pass an order off as a lookup: one with empty, ``.`` or ``..``
-    segments. Letters, digits and ``-._~`` match in %-encoded form too.
+    segments. Letters, digits and ``-._~`` match in %-encoded form too. Patterns
+    with a host are compared with the path as it was sent, which is also how the
+    upstream gets it.
     """
 
     def __init__(self, table: Table):
         # The keys are the patterns of the rows themselves, which cost no copy.
         self._row_by_pattern: dict[str, Row] = {}
+        self._shared_by_pattern: dict[str, SharedRoute] = {}
+        self._hosts: set[str] = set()
         self._depth = 0
         for row in table.rows:
             for pattern in row.routes:
-                self._row_by_pattern.setdefault(pattern, row)
-                if pattern.endswith(ANY_REST):
-                    self._depth = max(self._depth, pattern.count("/"))
+                self._add(pattern, row)
 
-    def find(self, method: str, path: str) -> Row | None:
-        """Return the row for `method` and `path`, without query, or None."""
+    def _add(self, pattern: str, row: Row) -> None:
+        held = self._row_by_pattern.setdefault(pattern, row)
+        if held is not row:
+            shared = self._shared_by_pattern.get(pattern, SharedRoute((held,)))
+            self._shared_by_pattern[pattern] = SharedRoute((*shared.rows, row))
+        place = pattern.partition(" ")[2]
+        if not place.startswith("/"):
+            self._hosts.add(place.partition("/")[0])
+        if pattern.endswith(ANY_REST):
+            self._depth = max(self._depth, pattern.count("/"))
+
+    def find(self, method: str, path: str, host: str = "") -> Row | None:
+        """Return the row for `method`, `host` and `path`, without query, or None."""
+        host = host.lower()
+        if host in self._hosts or host.partition(":")[0] in self._hosts:
+            known = host if host in self._hosts else host.partition(":")[0]
+            row = self._find_any(method, known, path)
+            if row is not None:
+                return row
         if "%" in path or "//" in path or "/." in path:
             path = _plain(path)
-        row = self._find(method, path)
-        if row is None and method in METHOD_FALLBACK:
-            return self._find(METHOD_FALLBACK[method], path)
-        return row
+        return self._find_any(method, "", path)
+
+    def _find_any(self, method: str, host: str, path: str) -> Row | None:
+        fallback = METHOD_FALLBACK.get(method)
+        for name in (method, fallback, ANY_METHOD):
+            row = None if name is None else self._find(name, host, path)
+            if row is not None:
+                return row
+        return None
 
-    def _find(self, method: str, path: str) -> Row | None:
-        row = self._row_by_pattern.get(f"{method} {path}")
+    def _find(self, method: str, host: str, path: str) -> Row | None:
+        row = self._row_of(f"{method} {host}{path}")
         if row is not None:
             return row
         ends = []
@@ -53,11 +105,15 @@
         while len(ends) < self._depth and (end := path.find("/", end + 1)) >= 0:
             ends.append(end)
         for end in reversed(ends):
-            row = self._row_by_pattern.get(f"{method} {path[:end]}{ANY_REST}")
+            row = self._row_of(f"{method} {host}{path[:end]}{ANY_REST}")
             if row is not None:
                 return row
         return None
 
+    def _row_of(self, pattern: str) -> Row | None:
+        shared = self._shared_by_pattern.get(pattern)
+        return self._row_by_pattern.get(pattern) if shared is None else shared.next()
+
 
 def _plain(path: str) -> str:
     """Return the path with plain characters decoded, empty if it is ambiguous."""
--- a/chicorychute/table/rows.py
+++ b/chicorychute/table/rows.py
@@ -10,6 +10,7 @@
 
     IDEMPOTENT = "idempotent"
     ONCE = "once"
+    PER_SEND = "per-send"
 
 
 @attrs.frozen
@@ -39,6 +40,19 @@
     cross_region_kbps : float
         Budget of one daemon for this service beyond its region, in kilobytes
         a second, 0 to stay inside.
+    attempts : int
+        Most upstreams that one request may reach.
+    retry_burst : float
+        Retries that one daemon may save up for the service.
+    weight : float
+        Part of the requests of a route that rows of several services share, 0
+        for a route of this row alone.
+    probe : str
+        Path by which the service's upstreams are probed, empty to keep the path
+        of the settings.
+    idle_s : float
+        Time that callers may keep an idle connection, 0 for the edge's own; the
+        longest of all rows holds.
     """
 
     service: str
@@ -55,6 +69,11 @@
     sensitivity: float
     team_rate: float
     cross_region_kbps: float
+    attempts: int = 3
+    retry_burst: float = 10.0
+    weight: float = 0.0
+    probe: str = ""
+    idle_s: float = 0.0
 
 
 @attrs.frozen
--- a/chicorychute/telemetry/logs.py
+++ b/chicorychute/telemetry/logs.py
@@ -9,10 +9,15 @@
 from structlog.typing import EventDict, Processor
 
 from chicorychute.core.clock import Clock
+from chicorychute.telemetry.writer import LineWriter
 
 FLOOD_LINES = 5  # of one event in a period
 FLOOD_PERIOD_S = 10.0
 UNLIMITED_PREFIX = "trace: "
+REQUEST_PREFIX = "request: "
+REQUEST_LINES_PER_S = 200.0  # about 100 KB/s, above the calm traffic of an instance
+REQUEST_LINES_SAVED = 1000.0
+GOOD_LEVEL = "info"  # lines of requests that went well give way first
 
 
 @attrs.define
@@ -33,6 +38,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._held_by_event: dict[str, _Held] = {}
+        self._requests = RequestLimit(clock)
 
     def __call__(self, logger: object, method: str, event: EventDict) -> EventDict:
         """Pass a line on.
@@ -45,6 +51,8 @@
         name = event["event"]
         if name.startswith(UNLIMITED_PREFIX):
             return event
+        if name.startswith(REQUEST_PREFIX):
+            return self._requests(method, event)
         now_s = self._clock.monotonic()
         with self._lock:
             held = self._held_by_event.get(name)
@@ -59,14 +67,49 @@
         return event
 
 
-def configure_logs(form: str, level: str, clock: Clock) -> None:
-    """Write lines of at least `level` to standard error.
+class RequestLimit:
+    """Bounds the lines of requests; those of failed ones are kept longest."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._left = REQUEST_LINES_SAVED
+        self._filled_s = clock.monotonic()
+        self._dropped = 0
+
+    def __call__(self, method: str, event: EventDict) -> EventDict:
+        """Pass a line on, with the number of those left out before it.
+
+        Raises
+        ------
+        structlog.DropEvent
+            If there were too many.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            filled = (now_s - self._filled_s) * REQUEST_LINES_PER_S
+            self._left = min(self._left + filled, REQUEST_LINES_SAVED)
+            self._filled_s = now_s
+            reserve = REQUEST_LINES_SAVED / 2 if method == GOOD_LEVEL else 0.0
+            if self._left < reserve + 1:
+                self._dropped += 1
+                raise structlog.DropEvent
+            self._left -= 1
+            dropped, self._dropped = self._dropped, 0
+        if dropped:
+            event["left_out_before"] = dropped
+        return event
+
+
+def configure_logs(form: str, level: str, clock: Clock) -> LineWriter:
+    """Write lines of at least `level` to standard output, and never wait for it.
 
     Parameters
     ----------
     form : str
         ``json`` or ``text``.
     """
+    writer = LineWriter(sys.stdout)
     structlog.configure(
         processors=[
             FloodLimit(clock),
@@ -78,9 +121,10 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *names: writer,
         cache_logger_on_first_use=True,
     )
+    return writer
 
 
 def _renderers(form: str) -> list[Processor]:
--- a/chicorychute/transport/calls.py
+++ b/chicorychute/transport/calls.py
@@ -7,7 +7,7 @@
 """
 
 import contextlib
-import functools
+import io
 import select
 import socket
 import threading
@@ -93,6 +93,10 @@
         self._sock.close()
 
 
+def _ignore_head() -> None:
+    """Do nothing with the head of an answer that no call waits for."""
+
+
 class _TrackedResponse(HTTPResponse):
     """Answer that tells when its head has come."""
 
@@ -106,6 +110,28 @@
         self._note_head()
 
 
+class _Reader(io.BufferedReader):
+    """Reader of a connection, which outlives the answers that are read with it."""
+
+    kept = True
+
+    def close(self) -> None:
+        """Close, once the connection is not kept any more."""
+        if not self.kept:
+            super().close()
+
+
+class _ReaderSource:
+    """What an answer takes for its socket, so that it shares the reader."""
+
+    def __init__(self, reader: _Reader):
+        self._reader = reader
+
+    def makefile(self, mode: str) -> _Reader:
+        """Return the reader of the connection."""
+        return self._reader
+
+
 class TrackedConnection(HTTPConnection):
     """Connection that tells the call under way which socket carries it.
 
@@ -121,6 +147,8 @@
     _read_s: float | None = None
     _head = b""
     _holds_head = False
+    _reader: _Reader | None = None
+    _answer: HTTPResponse | None = None
 
     def limit(self, connect_s: float, read_s: float) -> None:
         """Set the longest waits for a connection and for the bytes of an answer."""
@@ -159,26 +187,50 @@
     def connect(self) -> None:
         """Connect on behalf of the call of this thread."""
         super().connect()
+        self._reader = _Reader(self.sock.makefile("rb", buffering=0))
         self.sock.settimeout(self._read_s)
         if self._call is not None:
             self._call.attach(self.sock)
 
     def getresponse(self) -> HTTPResponse:
         """Return the head of the answer."""
-        call = self._call
-        self.response_class = (
-            HTTPResponse
-            if call is None
-            else functools.partial(_TrackedResponse, call.note_head)
-        )
+        self.response_class = self._begin_answer
         return PlainConnection.getresponse(self)
 
+    def _begin_answer(self, sock: socket.socket, **options) -> HTTPResponse:
+        note_head = _ignore_head if self._call is None else self._call.note_head
+        source = _ReaderSource(self._reader)
+        self._answer = _TrackedResponse(note_head, source, **options)
+        return self._answer
+
+    def next_response(self) -> HTTPResponse:
+        """Read the answer that was begun to its end; return the one behind it."""
+        self._answer.read()
+        if self._reader is None:
+            raise ConnectionAbortedError("closed behind a stray answer")
+        answer = self._begin_answer(self.sock, method=self._method)
+        answer.begin()
+        return answer
+
+    def has_surplus(self) -> bool:
+        """Return whether bytes came behind the answer that was read."""
+        self.sock.settimeout(0)
+        try:
+            return bool(self._reader.peek(1))
+        except OSError:
+            return True
+
     def close(self) -> None:
         """Close the connection; one that may still be at work is held."""
         if self._call is not None and self.sock is not None:
             self._call.hold()
         self._call = None
+        reader, self._reader = self._reader, None
         super().close()
+        if reader is not None:
+            reader.kept = False
+            if self._answer is None or self._answer.isclosed():
+                reader.close()
 
 
 class _Tracked:
--- a/chicorychute/transport/codec.py
+++ b/chicorychute/transport/codec.py
@@ -28,6 +28,7 @@
     (Work, "target"): is_word,
     (Work, "team"): is_line,
     (Work, "key"): is_line,
+    (Work, "id"): is_line,
     (Work, "traceparent"): is_line,
 }
 RANGE_BY_FIELD = {
@@ -149,7 +150,7 @@
 
 
 # Written with the fewest bytes that hold each number; other messages go faster.
-COMPACT = frozenset({messages.DigestUpdate})
+COMPACT = frozenset({messages.DigestUpdate, messages.Beat})
 
 MALFORMED = (
     cbor2.CBORDecodeError,
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -1,8 +1,6 @@
 """Callers' edge: a WSGI application grafted on CherryPy's tree."""
 
-import functools
 import http.client
-import re
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -12,7 +10,7 @@
 
 from chicorychute.core.clock import Clock
 from chicorychute.core.lines import is_word
-from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
+from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.pipeline.values import (
     Answer,
     AnswerBroken,
@@ -22,29 +20,19 @@
 )
 from chicorychute.transport.answer_body import AnswerBody
 from chicorychute.transport.callers import CallerWatch
+from chicorychute.transport.dialect import Dialect
 from chicorychute.transport.edge_connections import MAX_HELD_BYTES, EdgeHttpServer
 from chicorychute.transport.edge_request import (
     CUT_DETAILS,
     EdgeConnection,
     EdgeGateway,
     EdgeRequest,
-    refusal_body,
 )
 from chicorychute.transport.intake import TooLarge
-from chicorychute.transport.upstream import HOP_BY_HOP
 
-OWN_HEADERS = frozenset(
-    {"idempotency-key", "chute-deadline-ms", "chute-team", "traceparent"}
-)
-OWN_PREFIX = "chute-"
-MAX_KEY_CHARS = 512
-MAX_TEAM_CHARS = 128
 SILENCE_LIMIT_S = 10.0  # of a connection, within a request, answer or between
 HELD_BODIES = 4  # largest bodies that may be on their way in at least
 BODILESS_STATUSES = frozenset({204, 304})
-KEPT_NAMES = 256  # of headers; a caller may send any
-
-_is_duration = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?").fullmatch
 
 logger = structlog.get_logger()
 
@@ -69,6 +57,8 @@
         Told the reason of each request that does not reach the pipeline.
     callers : CallerWatch, optional
         Cancels the requests of callers that are gone.
+    dialect : Dialect, optional
+        Names what callers send and get.
     """
 
     def __init__(
@@ -80,7 +70,9 @@
         serving: Callable[[], bool] = lambda: True,
         on_refusal: Callable[[Reason], None] = _ignore,
         callers: CallerWatch | None = None,
+        dialect: Dialect | None = None,
     ):
+        self.dialect = Dialect() if dialect is None else dialect
         self._serving = serving
         self._callers = CallerWatch() if callers is None else callers
         self._handle = handle
@@ -120,22 +112,19 @@
         if not is_word(target):
             raise ValueError("the target holds a character that must be %-encoded")
         body = self._read_body(environ)
-        headers = []
-        for name, value in environ.items():
-            if name.startswith("HTTP_") and (passed := _passed_name(name)):
-                headers.append((passed, value))
-        if environ.get("CONTENT_TYPE"):
-            headers.append(("content-type", environ["CONTENT_TYPE"]))
+        terms = self.dialect.terms(environ)
         return Request(
             environ["REQUEST_METHOD"],
             target,
-            tuple(headers),
+            terms.headers,
             body,
-            _short(environ, "Chute-Team", MAX_TEAM_CHARS),
-            _short(environ, "Idempotency-Key", MAX_KEY_CHARS),
-            environ.get("HTTP_TRACEPARENT", ""),
+            terms.team,
+            terms.key,
+            terms.traceparent,
             received_s,
-            asked_ms=_duration_ms(environ, "Chute-Deadline-Ms"),
+            asked_ms=terms.asked_ms,
+            id=terms.id,
+            host=terms.host,
         )
 
     def _read_body(self, environ: dict) -> bytes:
@@ -149,22 +138,11 @@
     def _refuse(
         self, refused: Refused, environ: dict, start_response: Callable
     ) -> list[bytes]:
-        spec = REASON_SPECS[refused.reason]
-        body = refusal_body(refused.outcome, refused.reason, refused.detail)
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Chute-Outcome", refused.outcome.value),
-            ("Chute-Reason", refused.reason.value),
-            *self._stay_headers(),
-        ]
-        start_response(f"{spec.status} {refused.reason.value}", headers)
-        return [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
-
-    def _stay_headers(self) -> list[tuple[str, str]]:
-        if self._serving():
-            return [("Chute-Home", self._home())]
-        return [("Connection", "close")]
+        stays = self._serving()
+        form = self.dialect.refusal(refused, self._home() if stays else "", stays)
+        headers = [*form.headers, ("Content-Length", str(len(form.body)))]
+        start_response(f"{form.status} {form.phrase}", headers)
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [form.body]
 
     def _answer(
         self, answer: Answer, environ: dict, start_response: Callable
@@ -178,28 +156,15 @@
         except AnswerBroken as error:
             refused = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
             return self._refuse(refused, environ, start_response)
-        headers = [
-            (name, value)
-            for name, value in answer.headers
-            if not name.lower().startswith(OWN_PREFIX)
-        ]
+        stays = self._serving()
+        home = self._home() if stays else ""
+        headers = list(self.dialect.answer_headers(answer, home, stays))
         if answer.length >= 0:
             headers.append(("Content-Length", str(answer.length)))
-        headers.append(("Chute-Outcome", Outcome.RAN.value))
-        headers.extend(self._stay_headers())
-        if answer.upstream:
-            headers.append(("Chute-Upstream", answer.upstream))
         start_response(f"{answer.status} {_phrase(answer.status)}", headers)
         return body
 
 
-@functools.lru_cache(KEPT_NAMES)
-def _passed_name(name: str) -> str:
-    """Return the name under which a header is passed on, empty where it is not."""
-    plain = name[5:].replace("_", "-").lower()
-    return "" if plain in HOP_BY_HOP or plain in OWN_HEADERS else plain
-
-
 def _refusal_of(error: Exception, cut: Reason | None) -> Refused:
     if cut is not None:
         return Refused(Outcome.NOT_RUN, cut, CUT_DETAILS[cut])
@@ -208,22 +173,6 @@
     return Refused(Outcome.NOT_RUN, Reason.BAD_REQUEST, str(error))
 
 
-def _short(environ: dict, name: str, limit: int) -> str:
-    value = environ.get("HTTP_" + name.upper().replace("-", "_"), "")
-    if len(value) > limit:
-        raise ValueError(f"{name} is longer than {limit} characters")
-    return value
-
-
-def _duration_ms(environ: dict, name: str) -> float | None:
-    value = environ.get("HTTP_" + name.upper().replace("-", "_"))
-    if value is None:
-        return None
-    if not _is_duration(value):
-        raise ValueError(f"{name} must be a number of milliseconds, such as 250")
-    return float(value)
-
-
 def _phrase(status: int) -> str:
     return http.client.responses.get(status, "Status")
 
@@ -246,16 +195,18 @@
         self._server = EdgeHttpServer(
             address,
             cherrypy.tree,
-            numthreads=threads,
+            numthreads=1,  # those that are replaced by threads started as needed
             request_queue_size=512,
             timeout=silence_limit_s,
         )
+        self._server.most_threads = threads
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = application.max_body_bytes
         self._server.ConnectionClass = EdgeConnection
         self._server.gateway = EdgeGateway
         self._server.error_log = _log_fault
         self._server.on_refusal = application.on_refusal
+        self._server.dialect = application.dialect
         self._server.clock = application.clock
         self._server.read_limit_s = read_limit_s
         self._server.max_held_bytes = max(
@@ -268,6 +219,10 @@
         """Port on which callers connect."""
         return self._server.bind_addr[1]
 
+    def set_silence_limit(self, seconds: float) -> None:
+        """Set the time that a connection may be silent, also those that are open."""
+        self._server.timeout = seconds
+
     def start(self) -> None:
         """Listen for callers."""
         self._adapter.subscribe()
--- a/chicorychute/transport/edge_connections.py
+++ b/chicorychute/transport/edge_connections.py
@@ -15,6 +15,8 @@
 
 from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import Reason
+from chicorychute.core.workers import WorkerPool
+from chicorychute.transport.dialect import Dialect
 
 MAX_CONNECTIONS = 4096  # that wait; above it the one that waits longest goes
 MAX_HELD_BYTES = 64 << 20  # of requests that no thread has taken
@@ -199,18 +201,57 @@
         return min(conn.since_s + self.server.read_limit_s, silence_end_s)
 
 
+class EdgeWorkers:
+    """Serves connections whose request has arrived, on threads started as needed.
+
+    Stands for the thread pool of the HTTP server, which starts all of its threads
+    at once.
+    """
+
+    def __init__(self, server: "EdgeHttpServer", most: int):
+        self._server = server
+        self._pool = WorkerPool("edge", most)
+        self.idle = 0  # asked by the server for its statistics
+        self.qsize = 0
+
+    def start(self) -> None:
+        """Do nothing: threads start with the requests."""
+
+    def put(self, conn) -> None:
+        """Serve the request of a connection."""
+        self._pool.submit(lambda: self._serve(conn))
+
+    def stop(self, timeout: float = 0) -> None:
+        """Do nothing: the threads end with the process."""
+
+    def _serve(self, conn) -> None:
+        keeps = False
+        try:
+            keeps = conn.communicate()
+        except ConnectionError as error:
+            self._server.error_log(f"connection lost ({error})")
+        finally:
+            if keeps:
+                self._server.put_conn(conn)
+            else:
+                conn.close()
+
+
 class EdgeHttpServer(Server):
     """HTTP server whose threads get whole requests only."""
 
     clock: Clock
+    dialect: Dialect
     read_limit_s: float
     max_held_bytes = MAX_HELD_BYTES
     expiration_interval = TICK_S
     keep_alive_conn_limit = None
+    most_threads = 10
 
     def prepare(self) -> None:
         """Listen, and start the threads."""
         self.held = HeldBytes()
+        self.requests = EdgeWorkers(self, self.most_threads)
         super().prepare()
         self._connections.close()
         self._connections = EdgeConnections(self)
--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import io
-import json
 import re
 import socket
 import struct
@@ -16,7 +15,7 @@
 
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
 from chicorychute.orders import token
-from chicorychute.pipeline.values import AnswerBroken
+from chicorychute.pipeline.values import AnswerBroken, Refused
 from chicorychute.transport.edge_streams import EdgeWriter
 from chicorychute.transport.intake import HEAD_END, Arrived, Intake
 
@@ -179,31 +178,17 @@
             status = f"{REASON_SPECS[reason].status} {reason.value}"
         outcome = self.refusal_outcome
         self.server.on_refusal(reason)
-        body = refusal_body(outcome, reason, str(msg))
-        head = (
-            f"{self.server.protocol} {status}\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Connection: close\r\n"
-            f"Chute-Outcome: {outcome.value}\r\n"
-            f"Chute-Reason: {reason.value}\r\n\r\n"
-        )
+        refused = Refused(outcome, reason, str(msg))
+        form = self.server.dialect.refusal(refused, home="", stays=False)
+        status = self.server.dialect.early_status(str(status), form)
+        lines = [f"{self.server.protocol} {status}"]
+        lines.extend(f"{name}: {value}" for name, value in form.headers)
+        lines.append(f"Content-Length: {len(form.body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
         self.close_connection = True
         self.conn.discards = True
         with contextlib.suppress(OSError):
-            self.conn.wfile.write(head.encode("latin-1") + body)
-
-
-def refusal_body(outcome: Outcome, reason: Reason, detail: str) -> bytes:
-    """Return the JSON body of a refusal."""
-    return json.dumps(
-        {
-            "outcome": outcome.value,
-            "reason": reason.value,
-            "detail": detail,
-            "remedy": REASON_SPECS[reason].remedy,
-        }
-    ).encode()
+            self.conn.wfile.write(head.encode("latin-1") + form.body)
 
 
 class HeadFile(io.BytesIO):
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -15,41 +15,14 @@
 from chicorychute.core.messages import Headers, Work
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.transport.calls import TrackedConnection
+from chicorychute.transport.dialect import Dialect
+from chicorychute.transport.upstream_end import HOP_BY_HOP, UpstreamFailure
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 64 << 10
+MAX_STRAYS = 2  # answers to earlier requests, read before the one that is due
 NOT_IN_TARGET = re.compile(r"[^\x21-\x7e]")
 NOT_IN_HEADER = re.compile(r"[\r\n\x00]|[^\x00-\xff]")
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-    }
-)
-
-
-class UpstreamFailure(Exception):
-    """A request ended at the upstream without a whole answer.
-
-    Parameters
-    ----------
-    outcome : Outcome
-        NOT_RUN only where no byte of the request reached the upstream.
-    """
-
-    def __init__(self, outcome: Outcome, reason: Reason, detail: str):
-        super().__init__(detail)
-        self.outcome = outcome
-        self.reason = reason
-        self.detail = detail
 
 
 @attrs.frozen
@@ -58,6 +31,11 @@
 
     `chunks` raises UpstreamFailure where the upstream ends the body early;
     `close` gives the rest up and closes the connection.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether the upstream closes the connection behind the answer.
     """
 
     status: int
@@ -65,6 +43,7 @@
     length: int
     chunks: Iterator[bytes]
     close: Callable[[], None]
+    closing: bool = False
 
 
 class UpstreamClient:
@@ -80,33 +59,57 @@
         ``http://host:port`` of the upstream.
     connections : int
         Most connections kept open.
+    dialect : Dialect, optional
+        Names what the upstream gets and answers.
     """
 
-    def __init__(self, url: str, connections: int, clock: Clock):
+    def __init__(
+        self,
+        url: str,
+        connections: int,
+        clock: Clock,
+        dialect: Dialect | None = None,
+    ):
+        self._dialect = Dialect() if dialect is None else dialect
         parsed = urlsplit(url)
         self._address = (parsed.hostname, parsed.port or HTTP_PORT)
         self._clock = clock
         self._idle: deque[TrackedConnection] = deque()
         self._most_idle = connections
 
-    def send(self, work: Work, body: bytes, timeout_s: float) -> UpstreamAnswer:
+    def send(
+        self, work: Work, body: bytes, timeout_s: float, incarnation: str = ""
+    ) -> UpstreamAnswer:
         """Send a request and return its answer once the head has come.
 
+        Parameters
+        ----------
+        incarnation : str
+            The only start of the upstream that may run it, empty for any.
+
         Raises
         ------
         UpstreamFailure
-            If no connection could be made, or the upstream hung up.
+            If no connection could be made, the upstream hung up, or its answer
+            is none to this request.
         """
         _check_head(work)
         deadline_s = self._clock.monotonic() + timeout_s
         connection = self._open() if work.key else self._take()
+        headers = self._dialect.upstream_headers(work, timeout_s, incarnation)
         try:
-            answer = _request(connection, work, body, timeout_s)
+            answer = _request(connection, work, body, timeout_s, headers)
+            answer = self._skip_strays(connection, work, answer)
             length = _length_of(answer)
+            kept = _kept_headers(answer.headers.items())
+            failure = self._dialect.misfit(work, answer.status, kept)
+            if failure is not None:
+                answer.close()
+                raise failure
         except UpstreamFailure:
             connection.close()
             raise
-        kept = _kept_headers(answer.headers.items())
+        closing = answer.will_close
 
         def close() -> None:
             answer.close()
@@ -117,7 +120,22 @@
             self._release(connection, shared=not work.key)
 
         chunks = self._chunks(connection, answer, deadline_s, close, release)
-        return UpstreamAnswer(answer.status, kept, length, chunks, close)
+        return UpstreamAnswer(answer.status, kept, length, chunks, close, closing)
+
+    def _skip_strays(
+        self, connection: TrackedConnection, work: Work, answer: HTTPResponse
+    ) -> HTTPResponse:
+        """Return the first answer that is not a late one to an earlier request."""
+        for _ in range(MAX_STRAYS):
+            if not self._dialect.is_of_another(work, tuple(answer.headers.items())):
+                break
+            try:
+                answer = connection.next_response()
+            except (HTTPException, OSError, ValueError) as error:
+                raise UpstreamFailure(
+                    Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error)
+                ) from error
+        return answer
 
     def _open(self) -> TrackedConnection:
         return TrackedConnection(*self._address)
@@ -134,7 +152,7 @@
 
     def _release(self, connection: TrackedConnection, shared: bool) -> None:
         connection.part()
-        kept = shared and connection.sock is not None
+        kept = shared and connection.sock is not None and not connection.has_surplus()
         if kept and len(self._idle) < self._most_idle:
             self._idle.append(connection)
         else:
@@ -187,13 +205,16 @@
 
 
 def _request(
-    connection: TrackedConnection, work: Work, body: bytes, timeout_s: float
+    connection: TrackedConnection,
+    work: Work,
+    body: bytes,
+    timeout_s: float,
+    headers: dict[str, str],
 ) -> HTTPResponse:
     try:
         connection.limit(min(CONNECT_TIMEOUT_S, timeout_s), timeout_s)
         # An upstream may answer and close before it has read a whole body.
         with contextlib.suppress(BrokenPipeError, ConnectionResetError):
-            headers = _headers(work, timeout_s)
             connection.request(work.method, work.target, body or None, headers)
         return connection.getresponse()
     except (NewConnectionError, ConnectTimeoutError) as error:
@@ -221,15 +242,6 @@
         raise UpstreamFailure(Outcome.NOT_RUN, Reason.BAD_REQUEST, "bad header")
 
 
-def _headers(work: Work, timeout_s: float) -> dict[str, str]:
-    headers = dict(work.headers)
-    headers["traceparent"] = work.traceparent
-    headers["Chute-Deadline-Ms"] = f"{timeout_s * 1000:.0f}"
-    if work.key:
-        headers["Idempotency-Key"] = work.key
-    return headers
-
-
 def _length_of(answer: HTTPResponse) -> int:
     text = ", ".join(answer.headers.get_all("Content-Length", ["-1"]))
     try:
--- a/release/reference.py
+++ b/release/reference.py
@@ -111,7 +111,7 @@
 def _shown(default: object) -> str:
     if default is REQUIRED:
         return "*required*"
-    if default in ("", ()):
+    if default is None or default in ("", (), {}):
         return "none"
     if isinstance(default, timedelta):
         return f"{default.total_seconds():g}"
--- a/tests/services/test_workers.py
+++ b/tests/core/test_workers.py
@@ -1,7 +1,7 @@
 import queue
 import threading
 
-from chicorychute.services.workers import WorkerPool
+from chicorychute.core.workers import WorkerPool
 
 WAIT_S = 20.0
 
--- a/tests/processes/test_dist.py
+++ b/tests/processes/test_dist.py
@@ -85,11 +85,11 @@
         [*ALONE, program, "run", "-c", ini(tmp_path, ports)],
         cwd=empty,
         env=environment(empty),
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
         text=True,
     )
     try:
-        assert any("daemon: serving" in line for line in process.stderr)
+        assert any("daemon: serving" in line for line in process.stdout)
         url = f"http://127.0.0.1:{ports[2]}/live"
         assert urllib.request.urlopen(url, timeout=WAIT_S).read() == b"live\n"
         children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
@@ -100,7 +100,7 @@
         assert "site-packages" not in maps
     finally:
         process.send_signal(signal.SIGTERM)
-        process.stderr.read()
+        process.stdout.read()
         assert process.wait(WAIT_S) == 0
     assert list(empty.iterdir()) == []
 
--- a/tests/services/interleaved.py
+++ b/tests/services/interleaved.py
@@ -160,7 +160,7 @@
         self._world = world
         self._upstream = upstream
 
-    def send(self, work, body, timeout_s):
+    def send(self, work, body, timeout_s, incarnation=""):
         world = self._world
         end_s = world.clock.monotonic() + timeout_s
         send = Send(work.target, calls._current.call)
--- a/tests/services/test_fleet.py
+++ b/tests/services/test_fleet.py
@@ -15,8 +15,8 @@
     Verdict,
 )
 from chicorychute.membership.view import MembershipView
-from chicorychute.platform.base import ListedInstance
 from chicorychute.services.fleet import FleetService
+from chicorychute.sources.base import ListedInstance
 
 SUSPECT_AFTER_S = 3.0
 
--- a/tests/services/test_gate.py
+++ b/tests/services/test_gate.py
@@ -305,7 +305,7 @@
 ):
     answer = UpstreamAnswer(200, (), length, late_chunks(), lambda: None)
     client = gate._upstream_by_id["u"].client
-    monkeypatch.setattr(client, "send", lambda work, body, timeout_s: answer)
+    monkeypatch.setattr(client, "send", lambda *sent: answer)
     end = Run(gate, clock).reply()
     assert isinstance(end, Answer) is whole
     assert gate.idle()
--- a/tests/platform/test_pacing.py
+++ b/tests/sources/test_pacing.py
@@ -3,7 +3,7 @@
 import random
 
 from chicorychute.core.clock import ManualClock
-from chicorychute.platform.pacing import LONGEST_PAUSE_S, ReadPace
+from chicorychute.sources.pacing import LONGEST_PAUSE_S, ReadPace
 
 TICK_S = 0.1
 TODAY = 24
