Keep told slots in use while the upstream rejects or slows

Only the gate sends to its upstream, which has told its slots.

Ruled out: the time left (7 s were asked), the retry budget (nothing had been sent).

Change: with told slots only a restart lowers the limit.

What is left of "no free slot" is a choice whose predicted time is beyond the time left, although other gates were not asked.

--- a/chicorychute/admission/limit.py
+++ b/chicorychute/admission/limit.py
@@ -19,10 +19,18 @@
     ----------
     slots : int
         The table's limit, never exceeded.
+
+    Attributes
+    ----------
+    told : bool
+        Whether the upstream itself told its slots. Only its gate sends to it, so a
+        rejection or a slow answer within them is no sign of too much work, and a
+        lower limit would leave slots empty; only a restart still lowers it.
     """
 
     def __init__(self, slots: int, clock: Clock):
         self._clock = clock
+        self.told = False
         self._slots = slots
         self._limit = float(slots)
         self._ratio = 1.0
@@ -48,7 +56,7 @@
 
     def answered(self, rank: str, service_s: float) -> None:
         """Add a good answer."""
-        if self._slower(rank, service_s):
+        if self._slower(rank, service_s) and not self.told:
             self._lower(SLOW_FACTOR)
         else:
             self._limit = min(self._limit + 1 / max(self._limit, LEAST), self._slots)
@@ -59,7 +67,7 @@
 
     def _lower(self, factor: float) -> None:
         now_s = self._clock.monotonic()
-        if now_s - self._lowered_s < PAUSE_S:
+        if self.told or now_s - self._lowered_s < PAUSE_S:
             return
         self._lowered_s = now_s
         self._limit = min(max(self._limit * factor, LEAST), self._slots)
--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -123,6 +123,15 @@
             return 0.0
         return self._order.wait_s(rank, self.limit)
 
+    def first_free_s(self) -> float:
+        """Return the time until a slot is likely to be returned, 0 with one free."""
+        if self.in_flight < self.limit:
+            return 0.0
+        running = [s for s in self._order.by_rank.values() if s.running]
+        taken = sum(state.running for state in running)
+        held_s = sum(state.running * state.service.mean_s for state in running)
+        return held_s / taken / (self.in_flight + 1) if taken else 0.0
+
     def configure(self, slots: int, policies: Iterable[RankPolicy]) -> None:
         """Take the cells of a new table; `advance` refuses ranks that are gone."""
         self.slots = self.limit = slots
--- a/chicorychute/pipeline/life.py
+++ b/chicorychute/pipeline/life.py
@@ -35,6 +35,8 @@
         "rank": "" if row is None else row.rank,
         "table_version": version,
         "ms": round(elapsed_s * 1000, 1),
+        "asked_ms": request.asked_ms,
+        "stopped_by": request.stopped_by,
         "tries": [_shown(made) for made in request.tries],
     }
     if request.scope.cancelled:
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -122,6 +122,8 @@
         Whether the gate under way may queue the request.
     tries : list of Try
         Sends to gates so far.
+    stopped_by : str
+        Why no further gate was tried, for the logs.
     """
 
     method: str
@@ -144,6 +146,7 @@
     host: str = ""
     may_wait: bool = True
     tries: list[Try] = attrs.field(factory=list)
+    stopped_by: str = ""
 
     @property
     def path(self) -> str:
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -37,9 +37,7 @@
     reason: Reason
 
 
-def predict_ms(
-    candidate: Candidate, sent: int, rank: str = "", risk_ms: float = 0.0
-) -> float:
+def predict_ms(candidate: Candidate, sent: int, rank: str = "") -> float:
     """Return the predicted time to an answer.
 
     Parameters
@@ -48,8 +46,6 @@
         Requests of the rank that this entry has outstanding at the upstream.
     rank : str
         Rank whose wait counts; where the gate tells none, the whole queue does.
-    risk_ms : float
-        Time that a certain failure is worth.
     """
     digest = candidate.digest
     service_ms = max(digest.latency_ms, 1.0)
@@ -61,7 +57,6 @@
     else:
         wait_ms = max(wait_ms, max(0.0, (sent + 1) / capacity - 1) * service_ms)
     predicted = TRAVEL_MS[candidate.distance] + wait_ms + service_ms
-    predicted += digest.risk * risk_ms
     if digest.verdict in EJECTED:
         predicted *= SICK_PENALTY
     return predicted
@@ -171,11 +166,12 @@
     def best(self, candidates: list[Candidate]) -> Choice:
         """Return the candidate predicted to answer first."""
         best = None
-        best_ms = math.inf
+        best_cost_ms = math.inf
         for candidate in candidates:
             sent = self._outstanding_by_upstream.get(candidate.digest.upstream, 0)
-            predicted_ms = predict_ms(candidate, sent, self._rank, self._risk_ms)
-            if best is None or predicted_ms < best_ms:
-                best = candidate
-                best_ms = predicted_ms
-        return Choice(best, best_ms)
+            predicted_ms = predict_ms(candidate, sent, self._rank)
+            cost_ms = predicted_ms + candidate.digest.risk * self._risk_ms
+            if best is None or cost_ms < best_cost_ms:
+                best = Choice(candidate, predicted_ms)
+                best_cost_ms = cost_ms
+        return best
--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -122,18 +122,19 @@
     def _shortest(self, candidates: list[Candidate]) -> Choice | None:
         """Return the asked gate that is predicted to answer first."""
         best = None
-        best_ms = math.inf
+        best_cost_ms = math.inf
         for candidate in candidates:
             told = self._told_by_upstream.get(candidate.digest.upstream)
             if told is None:
                 continue
             waits = (RankWait(self._rank, told.wait_ms),)
-            digest = attrs.evolve(candidate.digest, waits=waits, risk=told.risk)
+            digest = attrs.evolve(candidate.digest, waits=waits)
             known = attrs.evolve(candidate, digest=digest)
-            predicted_ms = predict_ms(known, 0, self._rank, self._risk_ms)
-            if predicted_ms < best_ms:
-                best, best_ms = candidate, predicted_ms
-        return None if best is None else Choice(best, best_ms)
+            predicted_ms = predict_ms(known, 0, self._rank)
+            cost_ms = predicted_ms + told.risk * self._risk_ms
+            if cost_ms < best_cost_ms:
+                best, best_cost_ms = Choice(candidate, predicted_ms), cost_ms
+        return best
 
 
 def _has_far(candidates: list[Candidate]) -> bool:
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -122,8 +122,10 @@
             if isinstance(placed, NoChoice):
                 refused = Refused(Outcome.NOT_RUN, placed.reason)
                 reply = reply if placement.has_asked else refused
+                request.stopped_by = "no further gate"
                 return self._last(reply, attempts, placement)
             if not self._may_start(attempts, placed.choice):
+                request.stopped_by = "time or retry budget"
                 return self._last(reply, attempts, placement)
             request.attempt = attempts.sent
             request.may_wait = placed.may_wait
@@ -136,6 +138,7 @@
             action = attempts.on_end(_end_of(end), self._clock.monotonic())
             reply = _better(reply, end)
             if isinstance(action, Stop) or request.scope.cancelled:
+                request.stopped_by = "the last end"
                 return self._last(reply, attempts, placement)
             known = self._fleet.candidates(row.service)
 
--- a/chicorychute/services/slots.py
+++ b/chicorychute/services/slots.py
@@ -93,6 +93,7 @@
             rows = tuple(attrs.evolve(row, slots=told_slots) for row in rows)
             slots = told_slots
         self._rate_by_rank = {row.rank: row.team_rate for row in rows}
+        self._limit.told = told_slots > 0
         self._limit.configure(slots)
         self._queue.configure(slots, [_policy(row, slots) for row in rows])
         self._queue.limit = self._limit.slots
@@ -117,8 +118,11 @@
         return Ticket(rank, deadline_s, team, alone, fingerprint, may_wait)
 
     def wait_s(self, rank: str) -> float:
-        """Return the wait predicted for a request of a rank that came now."""
-        return self._queue.wait_s(rank)
+        """Return the wait predicted for a request of a rank that came now.
+
+        With every slot taken, it is no less than the time until one is returned.
+        """
+        return self._queue.wait_s(rank) + self._queue.first_free_s()
 
     def submit(self, ticket: Ticket) -> Decision:
         """Grant a slot, queue the request or refuse it."""
--- a/tests/admission/test_limit.py
+++ b/tests/admission/test_limit.py
@@ -84,3 +84,24 @@
     shed(limit, clock, 10)
     limit.configure(8)
     assert limit.slots == 1
+
+
+def test_rejections_and_slow_answers_leave_told_slots_in_use():
+    clock = ManualClock()
+    limit = AdaptiveLimit(4, clock)
+    limit.told = True
+    for number in range(200):
+        clock.advance(1.0)
+        limit.shed()
+        limit.answered("r", 0.1 if number < 100 else 1.0)
+    assert limit.slots == 4
+
+
+def test_restart_lowers_told_slots_until_answers_come():
+    limit = AdaptiveLimit(4, ManualClock())
+    limit.told = True
+    limit.restarted()
+    assert limit.slots == 1
+    for _ in range(20):
+        limit.answered("r", 0.1)
+    assert limit.slots == 4
