Ask the other gates where one guess is beyond the time left

Ruled out: the retry budget; nothing had reached an upstream.

Change: placement passes over a guess or a queue beyond the time left, asks farther, and refuses at once as overload where nothing is in time. The cost of a likely failure is 4 targets for what may not be repeated and 1 for what may (2 and 0.5 before).

--- a/chicorychute/health/gray.py
+++ b/chicorychute/health/gray.py
@@ -13,7 +13,7 @@
 
 CALM_MEAN_S = 8.0  # platform pages: "several seconds" of failures "at any time"
 GRAY_MEAN_S = 3.0  # same pages
-FAIL_SHARE_CALM = 0.02  # an upstream's own rare errors
+FAIL_SHARE_CALM = 0.012  # of an upstream's answers on a calm day, by the site files
 FAIL_SHARE_GRAY = 0.75  # most, not all, requests of an episode fail
 # A result that is overdue is no failure yet: likelihoods in the two states.
 OVERDUE_CALM = 0.05
--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -75,20 +75,21 @@
         unasked = [c for c in open_ if c.digest.upstream not in self._told_by_upstream]
         near = [c for c in unasked if c.distance < Distance.BEYOND]
         far = [c for c in unasked if c.distance == Distance.BEYOND and beyond_allowed]
-        if near:
-            choice = self._choose(near, remaining_ms)
-            return Placed(choice, may_wait=len(open_) == 1)
-        shortest = self._shortest(open_)
+        alone = len(open_) == 1
+        nearest = self._choose(near, remaining_ms)
+        if nearest is not None:
+            return Placed(nearest, may_wait=alone)
+        shortest = self._shortest(open_, remaining_ms)
         if shortest is not None and shortest.predicted_ms <= self._target_ms:
             return Placed(shortest, may_wait=True)
-        if far and self._far_asked < FAR_ASKED:
-            choice = self._choose(far, remaining_ms)
-            if shortest is None or choice.predicted_ms < shortest.predicted_ms:
+        if self._far_asked < FAR_ASKED:
+            farther = self._choose(far, remaining_ms)
+            if farther is not None and _is_sooner(farther, shortest):
                 self._far_asked += 1
-                return Placed(choice, may_wait=len(open_) == 1)
+                return Placed(farther, may_wait=alone)
         if shortest is not None:
             return Placed(shortest, may_wait=True)
-        return NoChoice(Reason.REGION_BUDGET if _has_far(open_) else Reason.NO_UPSTREAM)
+        return NoChoice(_reason(open_, beyond_allowed))
 
     @property
     def has_asked(self) -> bool:
@@ -108,8 +109,13 @@
         waits = [told.wait_ms for told in self._told_by_upstream.values()]
         return min(waits, default=0.0) / 1000
 
-    def _choose(self, candidates: list[Candidate], remaining_ms: float) -> Choice:
-        return choose(
+    def _choose(
+        self, candidates: list[Candidate], remaining_ms: float
+    ) -> Choice | None:
+        """Return the best guess among gates that were not asked, if in time."""
+        if not candidates:
+            return None
+        choice = choose(
             candidates,
             self._outstanding_by_upstream,
             frozenset(),
@@ -118,9 +124,12 @@
             rank=self._rank,
             risk_ms=self._risk_ms,
         )
+        return choice if choice.predicted_ms <= remaining_ms else None
 
-    def _shortest(self, candidates: list[Candidate]) -> Choice | None:
-        """Return the asked gate that is predicted to answer first."""
+    def _shortest(
+        self, candidates: list[Candidate], remaining_ms: float
+    ) -> Choice | None:
+        """Return the asked gate that is predicted to answer first, if in time."""
         best = None
         best_cost_ms = math.inf
         for candidate in candidates:
@@ -132,10 +141,18 @@
             known = attrs.evolve(candidate, digest=digest)
             predicted_ms = predict_ms(known, 0, self._rank)
             cost_ms = predicted_ms + told.risk * self._risk_ms
-            if cost_ms < best_cost_ms:
+            if predicted_ms <= remaining_ms and cost_ms < best_cost_ms:
                 best, best_cost_ms = Choice(candidate, predicted_ms), cost_ms
         return best
 
 
-def _has_far(candidates: list[Candidate]) -> bool:
-    return any(c.distance == Distance.BEYOND for c in candidates)
+def _is_sooner(choice: Choice, other: Choice | None) -> bool:
+    return other is None or choice.predicted_ms < other.predicted_ms
+
+
+def _reason(candidates: list[Candidate], beyond_allowed: bool) -> Reason:
+    """Return why none of the gates that are left is sent to."""
+    if not candidates:
+        return Reason.NO_UPSTREAM
+    near = any(c.distance < Distance.BEYOND for c in candidates)
+    return Reason.OVERLOAD if near or beyond_allowed else Reason.REGION_BUDGET
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -54,8 +54,8 @@
 from chicorychute.transport.calls import UpstreamCall
 from chicorychute.transport.links import LinkError, LinkHub
 
-LOSS_COST = 2.0  # targets that the failure of a request is worth, where it is final
-REPEAT_COST = 0.5  # and where it is repeated
+LOSS_COST = 4.0  # targets that the failure of a request is worth, where it is final
+REPEAT_COST = 1.0  # and where it is repeated
 ASK_REASONS = (Reason.NO_FREE_SLOT, Reason.UPSTREAM_DOUBTED)
 HEAD_BYTES = 500  # head of a request and of its answer on a link
 
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -43,7 +43,7 @@
 from chicorychute.transport.upstream_end import UpstreamFailure
 
 POOL_THREADS = 256
-DOUBT_RISK = 0.45  # half of the failures of a gray episode: as likely gray as not
+DOUBT_RISK = 0.3  # just above the long-run share of failures of an idle upstream
 BODY_STATUSES = frozenset((200, 201, 203, 206))  # answers that should have a body
 
 Starter = Callable[[Decision], None]
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,174 @@
+"""Stand-in of the users' store: items, ranges in pages, watches and their faults."""
+
+import base64
+import json
+import threading
+from urllib.parse import parse_qs
+
+import attrs
+from cheroot import wsgi
+
+SERVER_THREADS = 32
+JSON = [("Content-Type", "application/json")]
+
+
+@attrs.define
+class StoreFaults:
+    """Faults of the store, all off at first.
+
+    Attributes
+    ----------
+    status : int
+        Status of every answer, 0 for none.
+    history_from : int
+        Oldest revision whose changes are still known.
+    """
+
+    status: int = 0
+    history_from: int = 0
+
+
+class StoreApplication:
+    """WSGI application of the store; `put` and `remove` are the writers' side."""
+
+    def __init__(self, page: int = 500):
+        self._page = page
+        self._changed = threading.Condition()
+        self._revision = 1
+        self._item_by_key: dict[str, dict] = {}
+        self._events: list[dict] = []
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+
+    def put(self, key: str, value: object) -> int:
+        """Write a value, as JSON unless it is bytes; returns the revision."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._changed:
+            self._revision += 1
+            held = self._item_by_key.get(key, {})
+            item = {
+                "key": key,
+                "value": base64.b64encode(data).decode(),
+                "rev": self._revision,
+                "created": held.get("created", self._revision),
+                "lease": 0,
+            }
+            self._item_by_key[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+            return self._revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        with self._changed:
+            self._revision += 1
+            del self._item_by_key[key]
+            event = {"key": key, "rev": self._revision, "removed": True}
+            self._events.append(event)
+            self._changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Drop what changed so far."""
+        with self._changed:
+            self.faults.history_from = self._revision + 1
+            self._events.clear()
+
+    def __call__(self, environ, start_response):
+        """Answer one call."""
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        name = environ["PATH_INFO"].rpartition("/")[2]
+        self.calls.append(name)
+        if self.faults.status:
+            start_response(f"{self.faults.status} Fault", JSON)
+            return [b"{}"]
+        answer = {
+            "kv-key": self._key,
+            "kv-range": self._range,
+            "kv-watch": self._watch,
+        }[name]
+        status, body = answer(query)
+        start_response(status, JSON)
+        return [json.dumps(body).encode()]
+
+    def _key(self, query):
+        with self._changed:
+            item = self._item_by_key.get(query["key"])
+            if item is None:
+                return "404 Not Found", {}
+            return "200 OK", {**item, "current_rev": self._revision}
+
+    def _range(self, query):
+        with self._changed:
+            keys = sorted(
+                key
+                for key in self._item_by_key
+                if key.startswith(query["path_prefix"]) and key > query.get("after", "")
+            )
+            page = keys[: self._page]
+            return "200 OK", {
+                "items": [self._item_by_key[key] for key in page],
+                "truncated": len(keys) > len(page),
+                "current_rev": self._revision,
+            }
+
+    def _watch(self, query):
+        after = int(query["after"])
+        prefix = query["path_prefix"]
+
+        def events():
+            return [
+                event
+                for event in self._events
+                if event["rev"] > after and event["key"].startswith(prefix)
+            ]
+
+        with self._changed:
+            if after < self.faults.history_from:
+                return "410 Gone", {}
+            self._changed.wait_for(events, int(query["wait_ms"]) / 1000)
+            return "200 OK", {"events": events(), "current_rev": self._revision}
+
+
+def config(version: int, service: str = "orders", **changes) -> dict:
+    """Return a configuration with a route that repeats and one that does not."""
+    columns = [
+        "name",
+        "host",
+        "path_prefix",
+        "kind",
+        "timeout",
+        "goal",
+        "priority",
+        "service",
+        "attempts",
+        "split",
+    ]
+    rows = [
+        ["read", "h.example", "/read/", "safe", "3s", "1000ms", 0, service, 2, None],
+        ["buy", "h.example", "/buy/", "unsafe", "4000ms", "1.2s", 1, service, 2, None],
+    ]
+    return {
+        "revision": f"r{version}",
+        "routes": {"columns": columns, "rows": rows},
+        "services": {
+            "columns": ["name", "health_path", "max_conns", "protocol", "tls"],
+            "rows": [[service, "/healthz", 330, "h1", False]],
+        },
+        "limits": {"idle_timeout": "15000ms"},
+        **changes,
+    }
+
+
+def entry(address: str, service: str = "orders", **changes) -> dict:
+    """Return what an upstream registers of itself."""
+    status = {"state": "ready", "seq": 1, "cold_left": "0ms"}
+    info = {"service": service, "revision": "v1", "zone": "z1", "slots": 4}
+    return {"address": address, "info": info, "status": status, "born": 1, **changes}
+
+
+def serve(application) -> wsgi.Server:
+    """Start a server for an application on a free port of loopback."""
+    server = wsgi.Server(("127.0.0.1", 0), application, numthreads=SERVER_THREADS)
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    return server
--- /dev/null
+++ b/tests/platform/test_backend.py
@@ -0,0 +1,81 @@
+"""Table and list are read from the store through its faults."""
+
+import pytest
+
+from chicorychute.platform.backend import MeshPlatform
+from chicorychute.platform.store import StoreClient
+from chicorychute.platform.tables import PolicyCells
+from standins.store import StoreApplication, config, entry, serve
+
+POLICY = PolicyCells(0.15, 2.0, 0.7)
+WAIT_S = 5.0
+
+
+@pytest.fixture
+def store():
+    return StoreApplication(page=2)
+
+
+@pytest.fixture
+def platform(store):
+    server = serve(store)
+    yield MeshPlatform(
+        StoreClient(f"http://127.0.0.1:{server.bind_addr[1]}"), 7000, POLICY
+    )
+    server.stop()
+
+
+def test_first_call_reads_and_the_next_waits_for_a_change(store, platform):
+    store.put("op/config", config(3))
+    assert platform.watch_table(0, WAIT_S).ok_value.version == 3
+    store.put("op/other", b"")
+    store.put("op/config", config(5))
+    assert platform.watch_table(3, WAIT_S).ok_value.version == 5
+    assert platform.watch_table(5, 0.01).ok_value is None
+    assert store.calls == ["kv-key", "kv-watch", "kv-watch"]
+
+
+def test_dropped_history_is_read_anew(store, platform):
+    store.put("op/config", config(3))
+    platform.watch_table(0, WAIT_S)
+    store.put("op/config", config(4))
+    store.forget_history()
+    assert platform.watch_table(3, WAIT_S).ok_value.version == 4
+
+
+@pytest.mark.parametrize("status", [503, 429, 500])
+def test_refusing_store_is_an_error_and_its_return_is_read(store, platform, status):
+    store.put("op/config", config(3))
+    platform.watch_table(0, WAIT_S)
+    store.faults.status = status
+    assert platform.watch_table(3, WAIT_S).is_err()
+    assert platform.read_instances().is_err()
+    store.put("op/config", config(4))
+    store.faults.status = 0
+    assert platform.watch_table(3, WAIT_S).ok_value.version == 4
+
+
+def test_unreadable_configuration_is_an_error(store, platform):
+    store.put("op/config", b"{")
+    assert platform.watch_table(0, WAIT_S).is_err()
+
+
+def test_upstreams_of_every_page_are_listed_by_their_host(store, platform):
+    for number in range(5):
+        address = f"10.0.0.{number}:80"
+        store.put(f"servers/i-{number}", entry(address))
+    listed = platform.read_instances().ok_value
+    assert sorted(item.host for item in listed) == [f"10.0.0.{n}" for n in range(5)]
+    assert {item.peer_port for item in listed} == {7000}
+    assert {item.upstreams[0].slots for item in listed} == {4}
+
+
+def test_bad_entry_hides_no_other(store, platform):
+    store.put("op/config", config(1))
+    platform.watch_table(0, WAIT_S)
+    store.put("servers/a", b"\xff\x00")
+    store.put("servers/b", entry("10.0.0.1:80"))
+    store.put("servers/c", entry("10.0.0.2:80", service="unknown"))
+    store.put("servers/d", {"address": 5})
+    listed = platform.read_instances().ok_value
+    assert [item.host for item in listed] == ["10.0.0.1"]
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,135 @@
+"""What the platform holds is read into types, and what is odd is told."""
+
+import json
+
+import pytest
+
+from chicorychute.platform.tables import PolicyCells, render_table
+from chicorychute.platform.wire import (
+    StoreItem,
+    WireError,
+    duration_ms,
+    read_config,
+    read_upstream,
+)
+from chicorychute.table.parse import parse_table
+from chicorychute.table.routes import RouteIndex
+from chicorychute.table.rows import Repeat
+from standins.store import config, entry
+
+POLICY = PolicyCells(0.15, 2.0, 0.7)
+
+
+def table_of(body):
+    cells = read_config(json.dumps(body).encode())
+    return parse_table(cells.version, render_table(cells, POLICY)).ok_value
+
+
+@pytest.mark.parametrize(
+    "text, ms", [("1500ms", 1500.0), ("2.5s", 2500.0), ("0ms", 0.0)]
+)
+def test_duration_is_read_with_its_unit(text, ms):
+    assert duration_ms(text) == ms
+
+
+@pytest.mark.parametrize(
+    "text", ["", "15", "ms", "1 s", "-1s", "1m", None, 15, "1e3ms"]
+)
+def test_odd_duration_is_refused(text):
+    with pytest.raises(WireError):
+        duration_ms(text)
+
+
+def test_configuration_becomes_rows_by_service_and_rank():
+    table = table_of(config(12))
+    assert table.version == 12
+    read, buy = table.by_service["orders"]
+    assert (read.priority, read.repeat) == (1, Repeat.IDEMPOTENT)
+    assert (read.target_ms, read.deadline_ms, read.attempts) == (1000, 3000, 2)
+    assert (buy.priority, buy.repeat) == (2, Repeat.PER_SEND)
+    assert (buy.target_ms, buy.deadline_ms) == (1200, 4000)
+    assert (buy.probe, buy.idle_s, buy.floor) == ("/healthz", 15, 0.7)
+
+
+def test_equal_configurations_give_equal_texts():
+    turned = config(1)
+    turned["routes"]["rows"].reverse()
+    assert table_of(config(1)).text == table_of(turned).text
+
+
+def test_longest_prefix_of_the_host_goes_first():
+    body = config(1)
+    rows = body["routes"]["rows"]
+    rows.append(
+        ["deep", "h.example", "/read/deep/", "unsafe", "1s", "1s", 3, "orders", 1, None]
+    )
+    index = RouteIndex(table_of(body))
+    assert index.find("GET", "/read/x", "H.example").priority == 1
+    assert index.find("GET", "/read/deep/x", "h.example:80").priority == 4
+    assert index.find("GET", "/read/..//x", "h.example").priority == 1
+    assert index.find("GET", "/read", "h.example") is None
+    assert index.find("GET", "/read/x", "other.example") is None
+
+
+def test_parts_of_a_route_get_their_weights():
+    body = config(1)
+    parts = [{"service": "orders", "weight": 90}, {"service": "new", "weight": 10}]
+    body["routes"]["rows"] = [
+        ["read", "h.example", "/read/", "safe", "3s", "1s", 0, None, 2, parts]
+    ]
+    index = RouteIndex(table_of(body))
+    services = [index.find("GET", "/read/x", "h.example").service for _ in range(200)]
+    assert services.count("new") == 20
+    assert all("new" in services[start : start + 10] for start in range(0, 200, 10))
+
+
+def test_change_of_a_timeout_keeps_the_rank():
+    body = config(2)
+    body["routes"]["rows"][0][4] = "2s"
+    ranks = [{row.rank for row in table_of(b).rows} for b in (config(1), body)]
+    assert ranks[0] == ranks[1]
+
+
+def test_entry_of_an_upstream_is_read():
+    item = StoreItem(
+        "servers/i-1", json.dumps(entry("10.0.0.1:80", born=7)).encode(), 5
+    )
+    found = read_upstream(item)
+    assert (found.id, found.service, found.address) == ("i-1", "orders", "10.0.0.1:80")
+    assert (found.slots, found.leaving, found.started_ms) == (4, False, 7)
+
+
+def without(name):
+    body = entry("10.0.0.1:80")
+    del body[name]
+    return body
+
+
+ODD_ENTRIES = {
+    "no address": without("address"),
+    "no info": without("info"),
+    "no status": without("status"),
+    "address without port": entry("10.0.0.1"),
+    "unknown state": entry("10.0.0.1:80", status={"state": "odd", "seq": 1}),
+    "state of another type": entry("10.0.0.1:80", status={"state": 3, "seq": 1}),
+    "slots of another type": entry(
+        "10.0.0.1:80", info={"service": "s", "zone": "z", "slots": "4"}
+    ),
+    "start that is no whole number": entry("10.0.0.1:80", born=1.5),
+    "truth value for a number": entry(
+        "10.0.0.1:80", info={"service": "s", "zone": "z", "slots": True}
+    ),
+    "list": [],
+}
+
+
+@pytest.mark.parametrize("body", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_entry_is_refused(body):
+    with pytest.raises(WireError):
+        read_upstream(StoreItem("servers/x", json.dumps(body).encode(), 1))
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"{", b"null"])
+def test_bytes_that_are_no_entry_are_refused(data):
+    with pytest.raises(WireError):
+        read_upstream(StoreItem("servers/x", data, 1))
