Hand back what waits behind a failure; SIGHUP, the caller's service, a bounded stop

Ruled out: a reused connection for the wrong caller (the header is set for each request); an exit of ours (129 is the signal).

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -184,6 +184,13 @@
         self._remove(ticket)
         return True
 
+    def evict(self, reason: Reason) -> list[Decision]:
+        """Refuse every request that waits, so that it can go elsewhere."""
+        waiting = [t for held in self._waiting_by_rank.values() for t in held]
+        for ticket in waiting:
+            self._remove(ticket)
+        return [Refused(ticket, reason) for ticket in waiting]
+
     def advance(self) -> list[Decision]:
         """Drop requests past their deadline and fill free slots by rank."""
         now_s = self._clock.monotonic()
--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -62,7 +62,7 @@
         )
         max_bytes = options.record_mb << 20
         try:
-            daemon = Daemon(settings, options.record, max_bytes)
+            daemon = Daemon(settings, options.record, max_bytes, options.config)
             daemon.on_exit = lambda: writer.flush(FLUSH_S)
         except RecordError as error:
             raise CommandError(str(error), EXIT_BAD_INPUT) from error
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -52,6 +52,7 @@
 from chicorychute.services.notices import NoticeService
 from chicorychute.services.peers import PeerService
 from chicorychute.services.recorder import NoRecorder, Recorder
+from chicorychute.services.reloading import SettingsWatch
 from chicorychute.services.seats import ServerSeats
 from chicorychute.services.senders import Senders
 from chicorychute.services.status import StatusReport
@@ -80,7 +81,9 @@
 NOTICE_REPAIR_S = 2.0
 CALLER_TICK_S = 0.1
 PROBE_TICK_S = 0.1
-PLATFORM_TICK_S = 0.25
+SETTINGS_TICK_S = 1.0  # a change of the file takes effect within it
+PLATFORM_TICK_S = 0.1
+STOP_LIMIT_S = 0.5  # for listeners to close once nothing is in flight
 EXIT_CUT = 1  # requests were cut at shutdown
 
 logger = structlog.get_logger()
@@ -95,11 +98,18 @@
         File that takes the trace of the gate's decisions.
     record_bytes : int
         Length at which the trace ends.
+    path : Path, optional
+        File of the settings, which is read again when it changes.
     """
 
     def __init__(
-        self, settings: Settings, record: Path | None = None, record_bytes: int = 0
+        self,
+        settings: Settings,
+        record: Path | None = None,
+        record_bytes: int = 0,
+        path: Path | None = None,
     ):
+        self._reload = SettingsWatch(path, settings, self._apply_settings)
         self._settings = settings
         self._clock = SystemClock()
         services = tuple((u.id, u.service) for u in settings.upstreams)
@@ -315,6 +325,7 @@
             Ticker("probe", PROBE_TICK_S, self._gate.probe),
             Ticker("gossip", gossip_s, self._gossip),
             Ticker("notices", NOTICE_REPAIR_S, self._repair_notices),
+            Ticker("settings", SETTINGS_TICK_S, self._reload.poll),
         ]
         if platform is not None:
             tickers.append(Ticker("list", PLATFORM_TICK_S, self._fleet.read_list))
@@ -328,7 +339,7 @@
 
     def run(self) -> int:
         """Serve until a signal asks to stop; returns the exit code."""
-        StopSignals(self._on_signal).listen()
+        StopSignals(self._on_signal, self._reload.on_signal).listen()
         self._hub.start()
         self._operator.start()
         for ticker in self._tickers:
@@ -343,8 +354,14 @@
             logger.info("daemon: stopped")
             self.on_exit()
             os._exit(EXIT_CUT)
-        self._stop()
+        stopping = threading.Thread(target=self._stop, daemon=True)
+        stopping.start()
+        stopping.join(STOP_LIMIT_S)
+        logger.info("daemon: stopped")
         self.on_exit()
+        if stopping.is_alive():
+            # Nothing is in flight; only servers that close their listeners are late.
+            os._exit(0)
         return 0
 
     def _on_signal(self) -> None:
@@ -352,6 +369,10 @@
             self._drain.cut()
         self._stop_asked.set()
 
+    def _apply_settings(self, settings: Settings) -> frozenset[str]:
+        self._gate.take_settings(settings.upstreams)
+        return frozenset({"upstream"})
+
     def _on_listed_leaving(self) -> None:
         self._home.leave()
         self._drain.leave()
@@ -363,7 +384,6 @@
         self._operator.stop()
         self._hub.stop()
         self._recorder.close()
-        logger.info("daemon: stopped")
 
     def _get_hub(self) -> LinkHub:
         return self._hub
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -63,9 +63,13 @@
     told_verdict: Verdict = Verdict.COLD
     telling: threading.Lock = attrs.field(factory=threading.Lock)
 
+    def is_doubted(self) -> bool:
+        """Return whether work that can go elsewhere should."""
+        return self.gray.risk() > DOUBT_RISK
+
     @property
     def service(self) -> str:
-        return self.place.service or self.settings.service
+        return self.settings.service
 
 
 class GateService:
@@ -139,6 +143,17 @@
         probe = next((row.probe for row in rows if row.probe), "")
         upstream.probe = probe or upstream.settings.probe
 
+    def take_settings(self, upstreams: Iterable[UpstreamSettings]) -> None:
+        """Take services and probe paths that changed; addresses stay as they are."""
+        for settings in upstreams:
+            upstream = self._upstream_by_id.get(settings.id)
+            if upstream is None:
+                continue
+            with self._lock:
+                url = upstream.settings.url
+                upstream.settings = attrs.evolve(settings, url=url)
+                self._configure(upstream)
+
     def take_list(self, listed: Iterable[ListedUpstream], complete: bool) -> bool:
         """Take what the platform's list says of the local upstreams.
 
@@ -157,7 +172,7 @@
         changed = False
         for upstream in self._upstream_by_id.values():
             with self._lock:
-                change = upstream.place.take(listed, complete)
+                change = upstream.place.take(listed, upstream.service, complete)
                 if change is PlaceChange.REPLACED:
                     upstream.slots.restarted()
                     upstream.judge = UpstreamJudge(self._clock, cold=True)
@@ -263,7 +278,7 @@
             return
         self._recorder.arrived(upstream_id, ticket.rank, ticket.deadline_s)
         with self._lock:
-            if not ticket.may_wait and upstream.gray.risk() > DOUBT_RISK:
+            if not ticket.may_wait and upstream.is_doubted():
                 decision = QueueRefused(ticket, Reason.UPSTREAM_DOUBTED)
             else:
                 decision = upstream.slots.submit(ticket)
@@ -484,17 +499,22 @@
     ) -> None:
         with self._lock:
             upstream.judge.observe(observation, attempt)
+            evicted: list[Decision] = []
             match observation.result:
                 case Result.OK:
                     upstream.gray.observe(failed=False)
                     upstream.slots.answered(ticket, head_s)
                 case Result.FAILED | Result.EMPTY:
                     upstream.gray.observe(failed=True)
+                    # Failures are quick: its slots would soon empty the queue.
+                    if upstream.is_doubted():
+                        evicted = upstream.slots.evict()
                 case Result.TIMED_OUT:
                     upstream.gray.observe_overdue()
                 case Result.SHED:
                     upstream.slots.shed()
-            decisions = upstream.slots.finish(ticket, answered=head_s is not None)
+            finished = upstream.slots.finish(ticket, answered=head_s is not None)
+            decisions = evicted + finished
         self._recorder.ended(upstream.settings.id, ticket.deadline_s, observation)
         self._deliver(upstream.settings.id, decisions)
 
--- a/chicorychute/services/places.py
+++ b/chicorychute/services/places.py
@@ -45,11 +45,6 @@
         """Name of the start that may run work, empty for any."""
         return "" if self._known is None else self._known.id
 
-    @property
-    def service(self) -> str:
-        """Service that the list tells, empty where it tells none."""
-        return "" if self._known is None else self._known.service
-
     @property
     def slots(self) -> int:
         """Slots that the list tells, 0 where it tells none."""
@@ -59,9 +54,22 @@
         """Take no work until the list names the upstream anew: it was replaced."""
         self.takes_work = not self._listed
 
-    def take(self, listed: Iterable[ListedUpstream], complete: bool) -> PlaceChange:
-        """Take a list; one that is not `complete` proves nobody gone."""
-        here = [entry for entry in listed if entry.address == self._address]
+    def take(
+        self, listed: Iterable[ListedUpstream], service: str, complete: bool
+    ) -> PlaceChange:
+        """Take a list; one that is not `complete` proves nobody gone.
+
+        Parameters
+        ----------
+        service : str
+            Service beside the daemon, by its settings. An entry of another one at
+            the address is of an upstream that had it before.
+        """
+        here = [
+            entry
+            for entry in listed
+            if entry.address == self._address and entry.service == service
+        ]
         newest = max(here, key=_seniority, default=None)
         if newest is None:
             return self._missing(complete)
--- a/chicorychute/services/slots.py
+++ b/chicorychute/services/slots.py
@@ -149,6 +149,10 @@
             decisions += self._queue.release(ticket)
         return decisions + self._queue.advance()
 
+    def evict(self) -> list[Decision]:
+        """Refuse what waits: the upstream began to fail what it is sent."""
+        return self._queue.evict(Reason.UPSTREAM_DOUBTED)
+
     def start(self, ticket: Ticket, call: UpstreamCall) -> Reason | None:
         """Note that a granted request is about to be sent.
 
--- a/chicorychute/services/stopping.py
+++ b/chicorychute/services/stopping.py
@@ -1,4 +1,4 @@
-"""Signals that ask the daemon to stop."""
+"""Signals that ask the daemon to stop, or to read its settings again."""
 
 import queue
 import signal
@@ -9,8 +9,12 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def _ignore() -> None:
+    """Do nothing with a signal."""
+
+
 class StopSignals:
-    """Passes each signal that asks to stop to a thread of its own.
+    """Passes each signal to a thread of its own.
 
     A signal handler interrupts the main thread wherever it is, also while it holds
     the lock of an event that it waits on. So the handler only puts the signal into a
@@ -19,11 +23,18 @@
     Parameters
     ----------
     on_signal : callable
-        Called for each signal, one after the other.
+        Called for each signal that asks to stop, one after the other.
+    on_reload : callable, optional
+        Called for each SIGHUP.
     """
 
-    def __init__(self, on_signal: Callable[[], None]):
+    def __init__(
+        self,
+        on_signal: Callable[[], None],
+        on_reload: Callable[[], None] = _ignore,
+    ):
         self._on_signal = on_signal
+        self._on_reload = on_reload
         self._numbers: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._thread = threading.Thread(
             target=self._deliver, name="signals", daemon=True
@@ -32,7 +43,7 @@
     def listen(self) -> None:
         """Start the thread and install the handlers; call from the main thread."""
         self.start()
-        for number in STOP_SIGNALS:
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
             signal.signal(number, self.handle)
 
     def start(self) -> None:
@@ -45,5 +56,5 @@
 
     def _deliver(self) -> None:
         while True:
-            self._numbers.get()
-            self._on_signal()
+            reloads = self._numbers.get() == signal.SIGHUP
+            (self._on_reload if reloads else self._on_signal)()
--- a/chicorychute/telemetry/writer.py
+++ b/chicorychute/telemetry/writer.py
@@ -52,12 +52,12 @@
                 lines = list(self._lines)
                 self._lines.clear()
                 self._writing = True
-                missed, self._told = self.left_out - self._told, self.left_out
-            if missed:
-                lines.append(NOTICE % missed)
+                missed = self.left_out - self._told
+            notices = [NOTICE % missed] if missed else []
             try:
-                self._stream.write("\n".join(lines) + "\n")
+                self._stream.write("\n".join(lines + notices) + "\n")
                 self._stream.flush()
+                self._told += missed
             except (OSError, ValueError):
                 with self._changed:
                     self.left_out += len(lines)
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -185,3 +185,15 @@
                 queue.configure(1 + number % 4, POLICIES)
         assert queue.in_flight == len(running)
         assert queue.queued == len(waiting)
+
+
+def test_eviction_refuses_what_waits_and_leaves_what_runs(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    fill(queue, 3)
+    fill(queue, 1, "order")
+    evicted = queue.evict(Reason.UPSTREAM_DOUBTED)
+    assert reasons(evicted) == [Reason.UPSTREAM_DOUBTED] * 3
+    assert (queue.in_flight, queue.queued) == (1, 0)
+    assert queue.release() == []
+    _, decisions = fill(queue, 1)
+    assert len(grants(decisions)) == 1
--- a/tests/services/test_gate.py
+++ b/tests/services/test_gate.py
@@ -309,3 +309,32 @@
     end = Run(gate, clock).reply()
     assert isinstance(end, Answer) is whole
     assert gate.idle()
+
+
+FAILED = b"HTTP/1.1 500 Broken\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_failure_hands_back_what_waits_behind_it(gate, clock, upstream):
+    runs = [Run(gate, clock, name) for name in "abc"]
+    clock.advance(1.0)
+    upstream.next().sendall(FAILED)
+    assert runs[0].reply().status == 500
+    for run in runs[1:]:
+        refused = run.reply()
+        assert (refused.outcome, refused.reason) == (
+            Outcome.NOT_RUN,
+            Reason.UPSTREAM_DOUBTED,
+        )
+    assert gate.idle()
+
+
+def test_good_answer_of_an_upstream_in_doubt_keeps_its_queue(gate, clock, upstream):
+    first = Run(gate, clock, "a")
+    clock.advance(1.0)
+    upstream.next().sendall(FAILED)
+    first.reply()
+    second, third = Run(gate, clock, "b"), Run(gate, clock, "c")
+    upstream.next().sendall(ANSWER)
+    assert second.reply().status == 200
+    upstream.next().sendall(ANSWER)
+    assert third.reply().status == 200
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -2,7 +2,13 @@
 import structlog
 
 from chicorychute.core.clock import ManualClock
-from chicorychute.telemetry.logs import FLOOD_LINES, FLOOD_PERIOD_S, FloodLimit
+from chicorychute.telemetry.logs import (
+    FLOOD_LINES,
+    FLOOD_PERIOD_S,
+    REQUEST_LINES_PER_S,
+    REQUEST_LINES_SAVED,
+    FloodLimit,
+)
 
 
 def passed(limit, event, count):
@@ -39,3 +45,34 @@
     passed(limit, "a: b", FLOOD_LINES)
     with pytest.raises(structlog.DropEvent):
         limit(None, "info", {"event": "a: b"})
+
+
+def test_lines_of_failed_requests_are_kept_longest():
+    clock = ManualClock()
+    limit = FloodLimit(clock)
+    good = many(limit, "info", 2000)
+    bad = many(limit, "warning", 2000)
+    assert good == int(REQUEST_LINES_SAVED / 2)
+    assert bad == int(REQUEST_LINES_SAVED / 2)
+    clock.advance(1.0)
+    assert many(limit, "warning", 2000) == int(REQUEST_LINES_PER_S)
+
+
+def test_line_tells_how_many_were_left_out_before_it():
+    clock = ManualClock()
+    limit = FloodLimit(clock)
+    many(limit, "warning", int(REQUEST_LINES_SAVED) + 7)
+    clock.advance(1.0)
+    line = limit(None, "warning", {"event": "request: refused"})
+    assert line["left_out_before"] == 7
+
+
+def many(limit, method, count):
+    kept = 0
+    for _ in range(count):
+        try:
+            limit(None, method, {"event": "request: refused"})
+        except structlog.DropEvent:
+            continue
+        kept += 1
+    return kept
--- /dev/null
+++ b/tests/telemetry/test_writer.py
@@ -0,0 +1,63 @@
+"""A reader of the log that stops costs a bounded memory and holds up nobody."""
+
+import threading
+
+from chicorychute.telemetry.writer import LineWriter
+
+WAIT_S = 20.0
+
+
+class Stream:
+    """Stream that takes lines only while it is open."""
+
+    def __init__(self):
+        self.open = threading.Event()
+        self.lines = []
+
+    def write(self, text):
+        assert self.open.wait(WAIT_S)
+        self.lines.extend(text.splitlines())
+
+    def flush(self):
+        pass
+
+
+def test_lines_beyond_the_bound_are_counted_and_told():
+    stream = Stream()
+    writer = LineWriter(stream, most=100)
+    for number in range(1000):
+        writer.msg(f"line {number}")
+    left_out = writer.left_out
+    assert left_out >= 1000 - 2 * 100
+    stream.open.set()
+    writer.flush(WAIT_S)
+    writer.msg("last")
+    writer.flush(WAIT_S)
+    notices = [line for line in stream.lines if "were left out" in line]
+    assert len(notices) == 1
+    assert f'"count": {left_out}' in notices[0]
+    assert stream.lines[0] == "line 0"
+    assert "last" in stream.lines
+
+
+def test_lines_keep_their_order():
+    stream = Stream()
+    stream.open.set()
+    writer = LineWriter(stream)
+    for number in range(500):
+        writer.msg(str(number))
+    writer.flush(WAIT_S)
+    assert stream.lines == [str(number) for number in range(500)]
+
+
+def test_broken_stream_ends_no_caller():
+    class Broken(Stream):
+        def write(self, text):
+            raise BrokenPipeError
+
+    writer = LineWriter(Broken())
+    writer.msg("a")
+    writer.flush(WAIT_S)
+    writer.msg("b")
+    writer.flush(WAIT_S)
+    assert writer.left_out == 2
