Weigh doubt in the search beyond the region; late failures are weak evidence

Their log lines show two causes: with every gate of the region in doubt the request waited at one, as the predicted time alone was compared with the target; and a failure after the usual time, mostly that of a call of the upstream, was taken for a gray episode.

Change: the cost of risk counts before a gate beyond the region is asked; a failure later than a quarter of the usual time weighs 4 to 1 in place of 62 to 1.

--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -333,6 +333,15 @@
         "0 to 3600 seconds",
         "Longest wait for requests in flight at shutdown.",
     ),
+    Key(
+        "shutdown",
+        "kill_after_s",
+        _seconds(0, 3600),
+        timedelta(0),
+        "0 to 3600 seconds",
+        "Time after a stop was asked at which the process is killed, 0 for never; the"
+        " wait for requests in flight ends in its last tenth.",
+    ),
     Key(
         "shutdown",
         "settle_s",
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -83,6 +83,7 @@
 PROBE_TICK_S = 0.1
 SETTINGS_TICK_S = 1.0  # a change of the file takes effect within it
 PLATFORM_TICK_S = 0.1
+DRAIN_SHARE = 0.92  # of the time until the kill, the rest for the exit itself
 STOP_LIMIT_S = 0.5  # for listeners to close once nothing is in flight
 EXIT_CUT = 1  # requests were cut at shutdown
 
@@ -226,6 +227,9 @@
     def _build_shutdown(self) -> None:
         self._leaving = Leaving(self._clock)
         limit_s = self._settings.get("shutdown", "drain_limit_s").total_seconds()
+        kill_s = self._settings.get("shutdown", "kill_after_s").total_seconds()
+        if kill_s:
+            limit_s = min(limit_s, kill_s * DRAIN_SHARE)
         self._drain = DrainService(
             self._leaving,
             self._fleet,
--- a/chicorychute/health/gray.py
+++ b/chicorychute/health/gray.py
@@ -19,6 +19,11 @@
 OVERDUE_CALM = 0.05
 OVERDUE_GRAY = 0.3
 
+# A failure after the usual time is mostly that of a call which the upstream made.
+LATE_FAIL_CALM = 0.012
+LATE_FAIL_GRAY = 0.05
+QUICK_SHARE = 0.25  # of the usual time; failures of an episode come at once
+
 _GRAY_SHARE = GRAY_MEAN_S / (GRAY_MEAN_S + CALM_MEAN_S)
 _DRIFT_PER_S = 1 / CALM_MEAN_S + 1 / GRAY_MEAN_S
 
@@ -38,6 +43,10 @@
         else:
             self._weigh(1 - FAIL_SHARE_GRAY, 1 - FAIL_SHARE_CALM)
 
+    def observe_late_failure(self) -> None:
+        """Take a failure that came after about the usual time of an answer."""
+        self._weigh(LATE_FAIL_GRAY, LATE_FAIL_CALM)
+
     def observe_overdue(self) -> None:
         """Take a request that runs far longer than most."""
         self._weigh(OVERDUE_GRAY, OVERDUE_CALM)
--- a/chicorychute/routing/choice.py
+++ b/chicorychute/routing/choice.py
@@ -24,10 +24,17 @@
 
 @attrs.frozen
 class Choice:
-    """Chosen gate and the completion predicted for it."""
+    """Chosen gate and the completion predicted for it.
+
+    Attributes
+    ----------
+    cost_ms : float
+        Completion with the time that a likely failure is worth.
+    """
 
     candidate: Candidate
     predicted_ms: float
+    cost_ms: float = 0.0
 
 
 @attrs.frozen
@@ -172,6 +179,6 @@
             predicted_ms = predict_ms(candidate, sent, self._rank)
             cost_ms = predicted_ms + candidate.digest.risk * self._risk_ms
             if best is None or cost_ms < best_cost_ms:
-                best = Choice(candidate, predicted_ms)
+                best = Choice(candidate, predicted_ms, cost_ms)
                 best_cost_ms = cost_ms
         return best
--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -80,7 +80,7 @@
         if nearest is not None:
             return Placed(nearest, may_wait=alone)
         shortest = self._shortest(open_, remaining_ms)
-        if shortest is not None and shortest.predicted_ms <= self._target_ms:
+        if shortest is not None and shortest.cost_ms <= self._target_ms:
             return Placed(shortest, may_wait=True)
         if self._far_asked < FAR_ASKED:
             farther = self._choose(far, remaining_ms)
@@ -142,12 +142,13 @@
             predicted_ms = predict_ms(known, 0, self._rank)
             cost_ms = predicted_ms + told.risk * self._risk_ms
             if predicted_ms <= remaining_ms and cost_ms < best_cost_ms:
-                best, best_cost_ms = Choice(candidate, predicted_ms), cost_ms
+                best = Choice(candidate, predicted_ms, cost_ms)
+                best_cost_ms = cost_ms
         return best
 
 
 def _is_sooner(choice: Choice, other: Choice | None) -> bool:
-    return other is None or choice.predicted_ms < other.predicted_ms
+    return other is None or choice.cost_ms < other.cost_ms
 
 
 def _reason(candidates: list[Candidate], beyond_allowed: bool) -> Reason:
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -21,7 +21,7 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.core.workers import WorkerPool
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
-from chicorychute.health.gray import GrayEstimate
+from chicorychute.health.gray import QUICK_SHARE, GrayEstimate
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, probe_work
 from chicorychute.pipeline.values import Answer, Refused, Reply
@@ -505,7 +505,11 @@
                     upstream.gray.observe(failed=False)
                     upstream.slots.answered(ticket, head_s)
                 case Result.FAILED | Result.EMPTY:
-                    upstream.gray.observe(failed=True)
+                    usual_s = upstream.judge.latency_s
+                    if usual_s and observation.latency_s > QUICK_SHARE * usual_s:
+                        upstream.gray.observe_late_failure()
+                    else:
+                        upstream.gray.observe(failed=True)
                     # Failures are quick: its slots would soon empty the queue.
                     if upstream.is_doubted():
                         evicted = upstream.slots.evict()
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -97,3 +97,10 @@
 )
 def test_request_without_a_gate_in_time_is_refused_at_once(candidates, beyond, reason):
     assert placed(candidates, {}, beyond=beyond) == ([], reason)
+
+
+def test_gate_beyond_the_region_is_asked_where_all_near_are_in_doubt():
+    doubted = Told(0.0, 0.5)
+    sends, _ = placed(NEAR + FAR, {"a": doubted, "b": doubted, "c": doubted})
+    assert sends[-1][0].startswith("far")
+    assert not sends[-1][1]
