--- a/chicorychute/transport/links.py
+++ b/chicorychute/transport/links.py
@@ -322,9 +322,11 @@
         with contextlib.suppress(KeyError, ValueError):
             self._selector.unregister(link.sock)
         link.close()
+        name = link.peer.instance if link.peer else "unknown"
         if link.fault is not None:
-            name = link.peer.instance if link.peer else "unknown"
             logger.warning("link: closed", peer=name, cause=link.fault.value)
+        elif not self._stopping:
+            logger.info("link: lost", peer=name)
         try:
             if link.fault is not None:
                 self._on_fault(link.fault)
