Close the trace before the process ends by the limit of its stop

Cause: tests/replay/test_recorded_processes.py found an empty trace: the recorder was closed at the end of a stop that now waits half a second at most.

Ruled out: the recorder itself; its own tests passed.

Change: the trace is closed after that wait, whatever the servers do.

Measured: that test and the adapter's process tests pass.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -362,6 +362,7 @@
         stopping = threading.Thread(target=self._stop, daemon=True)
         stopping.start()
         stopping.join(STOP_LIMIT_S)
+        self._recorder.close()
         logger.info("daemon: stopped")
         self.on_exit()
         if stopping.is_alive():
@@ -388,7 +389,6 @@
             ticker.stop()
         self._operator.stop()
         self._hub.stop()
-        self._recorder.close()
 
     def _get_hub(self) -> LinkHub:
         return self._hub
