--- a/chicorychute/membership/nearby.py
+++ b/chicorychute/membership/nearby.py
@@ -22,6 +22,7 @@
     Verdict,
 )
 from chicorychute.membership.digests import shorten
+from chicorychute.membership.records import services_in
 from chicorychute.membership.sends import Send
 from chicorychute.sources.base import ListedInstance, ListedUpstream
 
@@ -99,7 +100,7 @@
             table_version=table_version,
             table_hash=table_hash,
             upstreams=upstreams,
-            services=tuple(sorted({digest.service for digest in upstreams})),
+            services=services_in(upstreams),
         )
 
     def leave(self) -> None:
@@ -175,9 +176,8 @@
             return
         peer.listed = True
         if peer.heard_s is None:
-            services = tuple(sorted({digest.service for digest in digests}))
             peer.record = attrs.evolve(
-                peer.record, upstreams=digests, services=services
+                peer.record, upstreams=digests, services=services_in(digests)
             )
 
     def _record_of(
@@ -195,7 +195,7 @@
             self._region_by_zone.get(zone, zone),
             0,
             digests,
-            services=tuple(sorted({digest.service for digest in digests})),
+            services=services_in(digests),
         )
 
     def status_of(self, instance: str) -> MemberStatus:
--- a/chicorychute/membership/records.py
+++ b/chicorychute/membership/records.py
@@ -7,9 +7,11 @@
 raises its heartbeat beyond.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
-from chicorychute.core.messages import MemberRecord, MemberStatus
+from chicorychute.core.messages import MemberRecord, MemberStatus, UpstreamDigest
 
 DEAD_HEARTBEAT_STEP = 1_000  # heartbeats of several minutes
 
@@ -56,6 +58,9 @@
 
 def services_of(record: MemberRecord) -> tuple[str, ...]:
     """Return the services beside an instance, each once."""
-    if record.services:
-        return record.services
-    return tuple(sorted({digest.service for digest in record.upstreams}))
+    return record.services or services_in(record.upstreams)
+
+
+def services_in(upstreams: Iterable[UpstreamDigest]) -> tuple[str, ...]:
+    """Return the services of some upstreams, each once."""
+    return tuple(sorted({digest.service for digest in upstreams}))
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -26,7 +26,7 @@
 from chicorychute.membership.listing import Listing
 from chicorychute.membership.members import Members
 from chicorychute.membership.probes import Askers, Finding, Probes
-from chicorychute.membership.records import claim
+from chicorychute.membership.records import claim, services_in
 from chicorychute.membership.selection import SMALL_FLEET, Turn
 from chicorychute.membership.sends import Send
 
@@ -96,7 +96,7 @@
         table_hash: str = "",
     ) -> None:
         """Raise the own heartbeat and replace the own digests."""
-        services = tuple(sorted({digest.service for digest in upstreams}))
+        services = services_in(upstreams)
         before = self._own
         self._own = attrs.evolve(
             self._own,
--- a/chicorychute/pipeline/life.py
+++ b/chicorychute/pipeline/life.py
@@ -5,10 +5,9 @@
 import structlog
 
 from chicorychute.core.clock import Clock
+from chicorychute.pipeline.measure import SERVER_ERROR
 from chicorychute.pipeline.values import Answer, Filter, Handler, Reply, Request, Try
 
-SERVER_ERROR = 500
-
 logger = structlog.get_logger()
 
 
--- a/chicorychute/platform/backend.py
+++ b/chicorychute/platform/backend.py
@@ -9,6 +9,7 @@
     CONFIG_KEY,
     UPSTREAM_PREFIX,
     StoreItem,
+    StorePage,
     UpstreamEntry,
     WireError,
     read_config,
@@ -56,7 +57,7 @@
         if self._watched_to is None:
             return self._read_config()
         match self._store.watch(CONFIG_KEY, self._watched_to, wait_s):
-            case Ok((page, _)):
+            case Ok(page):
                 self._watched_to = max(self._watched_to, page.store_revision)
                 newest = [item for item in page.items if item.key == CONFIG_KEY]
                 return self._document(newest[-1]) if newest else Ok(None)
@@ -74,7 +75,7 @@
             case Err(error):
                 return Err(error)
             case Ok(pages):
-                entries = self._entries([i for page in pages for i in page.items])
+                entries = self._entries(pages)
         by_host: dict[str, list[ListedUpstream]] = {}
         for entry in entries:
             host = entry.address.rpartition(":")[0]
@@ -106,11 +107,11 @@
         text = render_table(config, self._policy)
         return Ok(TableDocument(config.version, text))
 
-    def _entries(self, items: list[StoreItem]) -> list[UpstreamEntry]:
+    def _entries(self, pages: list[StorePage]) -> list[UpstreamEntry]:
         """Return the entries that can be read; another writer may add bad ones."""
         entries = []
-        bad = {}
-        for item in items:
+        bad = {text: "no item" for page in pages for text in page.unreadable}
+        for item in (item for page in pages for item in page.items):
             try:
                 entry = read_upstream(item)
             except WireError as error:
--- a/chicorychute/platform/store.py
+++ b/chicorychute/platform/store.py
@@ -69,13 +69,13 @@
 
     def watch(
         self, prefix: str, after: int, wait_s: float
-    ) -> Result[tuple[StorePage, tuple[str, ...]], PlatformError]:
+    ) -> Result[StorePage, PlatformError]:
         """Return what changed since revision `after`, at most `wait_s` later.
 
         Returns
         -------
-        Ok of the items written and the keys removed; Err of HistoryGone where the
-        store has dropped these changes
+        Ok of the items written; Err of HistoryGone where the store has dropped
+        these changes
         """
         query = {
             "path_prefix": prefix,
--- a/chicorychute/platform/wire.py
+++ b/chicorychute/platform/wire.py
@@ -49,7 +49,7 @@
     is_last : bool
         Whether no page follows; the opposite of ``truncated``.
     unreadable : tuple of str
-        Keys of items that are not in the store's form.
+        Begin of each item that is not in the store's form, for the logs.
     """
 
     items: tuple[StoreItem, ...]
@@ -173,18 +173,15 @@
     return _item(body), _whole(body, "current_rev")
 
 
-def read_events(data: bytes) -> tuple[StorePage, tuple[str, ...]]:
-    """Read the answer to a watch; also returns the keys that were removed."""
+def read_events(data: bytes) -> StorePage:
+    """Read the answer to a watch: the items written, without those removed."""
     body = _object(data)
-    written = []
-    removed = []
-    for event in body.get("events", []):
-        if isinstance(event, dict) and event.get("removed") is True:
-            removed.append(str(event.get("key", "")))
-        else:
-            written.append(_item(event))
-    page = StorePage(tuple(written), _whole(body, "current_rev"), True)
-    return page, tuple(removed)
+    written = tuple(
+        _item(event)
+        for event in body.get("events", [])
+        if not (isinstance(event, dict) and event.get("removed") is True)
+    )
+    return StorePage(written, _whole(body, "current_rev"), is_last=True)
 
 
 def read_config(value: bytes) -> ConfigCells:
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -31,11 +31,6 @@
 
     `chunks` raises UpstreamFailure where the upstream ends the body early;
     `close` gives the rest up and closes the connection.
-
-    Attributes
-    ----------
-    closing : bool
-        Whether the upstream closes the connection behind the answer.
     """
 
     status: int
@@ -43,7 +38,6 @@
     length: int
     chunks: Iterator[bytes]
     close: Callable[[], None]
-    closing: bool = False
 
 
 class UpstreamClient:
@@ -109,7 +103,6 @@
         except UpstreamFailure:
             connection.close()
             raise
-        closing = answer.will_close
 
         def close() -> None:
             answer.close()
@@ -120,7 +113,7 @@
             self._release(connection, shared=not work.key)
 
         chunks = self._chunks(connection, answer, deadline_s, close, release)
-        return UpstreamAnswer(answer.status, kept, length, chunks, close, closing)
+        return UpstreamAnswer(answer.status, kept, length, chunks, close)
 
     def _skip_strays(
         self, connection: TrackedConnection, work: Work, answer: HTTPResponse
--- a/tests/platform/test_backend.py
+++ b/tests/platform/test_backend.py
@@ -1,6 +1,7 @@
 """Table and list are read from the store through its faults."""
 
 import pytest
+import structlog
 
 from chicorychute.platform.backend import MeshPlatform
 from chicorychute.platform.store import StoreClient
@@ -79,3 +80,16 @@
     store.put("servers/d", {"address": 5})
     listed = platform.read_instances().ok_value
     assert [item.host for item in listed] == ["10.0.0.1"]
+
+
+def test_item_that_is_not_in_the_form_of_the_store_is_told_once(store, platform):
+    store.put("servers/a", entry("10.0.0.1:80"))
+    store.put("servers/b", entry("10.0.0.2:80"))
+    store._item_by_key["servers/a"]["value"] = "no base64 !"
+    with structlog.testing.capture_logs() as lines:
+        listed = platform.read_instances().ok_value
+        platform.read_instances()
+    assert [item.host for item in listed] == ["10.0.0.2"]
+    (line,) = lines
+    assert line["event"] == "platform: an entry is ignored"
+    assert "servers/a" in line["key"]
