Tell the life of a request from log lines: chicorychute explain

Cause: an on-call engineer had to search several logs for an id, put the lines in order and know which missing line means what. Lines did not name their instance, so that lines of several daemons could not be told apart once they were merged.

Ruled out: guessing the way of a request from its try list alone; a line of a gate that is missing may have been left out, so both readings are named.

Change: each line names its instance. `explain REQUEST-ID [FILE ...]` reads lines in any order and tells what each gate did, what the entry knew at each try, the end, where it was lost, what its daemons learned in the 5 s before, and what is missing.

Conclusion: the command's tests cover lines of both daemons, shuffled, cut, doubled and left out.

--- a/chicorychute/core/management/commands/run.py
+++ b/chicorychute/core/management/commands/run.py
@@ -58,7 +58,10 @@
         from chicorychute.telemetry.logs import configure_logs
 
         writer = configure_logs(
-            settings.get("log", "format"), settings.get("log", "level"), SystemClock()
+            settings.get("log", "format"),
+            settings.get("log", "level"),
+            SystemClock(),
+            settings.get("instance", "id"),
         )
         max_bytes = options.record_mb << 20
         try:
--- a/chicorychute/telemetry/logs.py
+++ b/chicorychute/telemetry/logs.py
@@ -101,19 +101,30 @@
         return event
 
 
-def configure_logs(form: str, level: str, clock: Clock) -> LineWriter:
+def configure_logs(
+    form: str, level: str, clock: Clock, instance: str = ""
+) -> LineWriter:
     """Write lines of at least `level` to standard output, and never wait for it.
 
     Parameters
     ----------
     form : str
         ``json`` or ``text``.
+    instance : str, optional
+        Named in each line, so that the lines of a fleet can be read together.
     """
+
+    def name_instance(logger: object, method: str, event: EventDict) -> EventDict:
+        if instance:
+            event["instance"] = instance
+        return event
+
     writer = LineWriter(sys.stdout)
     structlog.configure(
         processors=[
             FloodLimit(clock),
             structlog.contextvars.merge_contextvars,
+            name_instance,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             *_renderers(form),
--- /dev/null
+++ b/tests/explain/test_explain.py
@@ -0,0 +1,215 @@
+"""The life of a request from lines of several daemons, whole and damaged."""
+
+import json
+import random
+
+import pytest
+
+from chicorychute.core.management import main
+from chicorychute.explain.lines import find, read_line
+from chicorychute.explain.story import tell
+
+ID = "9c41d07be2a35f68"
+START = "2026-12-04T15:00:0"
+
+
+def line(second, instance, event, **fields):
+    stamp = f"{START}{second:.6f}Z"
+    return json.dumps(
+        {**fields, "event": event, "instance": instance, "timestamp": stamp}
+    )
+
+
+def made(upstream, end, **more):
+    return {
+        "upstream": upstream,
+        "predicted_ms": 210.0,
+        "risk": 0.02,
+        "may_wait": False,
+        "ms": 3.0,
+        "end": end,
+        **more,
+    }
+
+
+def not_taken(second, instance, upstream, id=ID):
+    return line(
+        second,
+        instance,
+        "request: not taken",
+        id=id,
+        upstream=upstream,
+        reason="no-free-slot",
+        in_flight=4,
+        queued=5,
+        wait_ms=1978.6,
+        risk=0.02,
+    )
+
+
+def ran(second, instance, upstream, end, id=ID):
+    return line(
+        second,
+        instance,
+        "request: ran",
+        id=id,
+        upstream=upstream,
+        end=end,
+        ms=180.0,
+        in_flight=2,
+        risk=0.02,
+    )
+
+
+def refused(second, outcome, reason, tries, **more):
+    fields = {
+        "id": ID,
+        "outcome": outcome,
+        "reason": reason,
+        "service": "orders",
+        "rank": "order",
+        "table_version": 12,
+        "ms": 351.0,
+        "asked_ms": 4000,
+        "stopped_by": "no further gate",
+        "tries": tries,
+        **more,
+    }
+    return line(second, "entry", "request: refused", **fields)
+
+
+def answered(second, status, tries):
+    return line(
+        second,
+        "entry",
+        "request: answered",
+        id=ID,
+        status=status,
+        upstream=tries[-1]["upstream"],
+        service="orders",
+        rank="order",
+        table_version=12,
+        ms=200.0,
+        asked_ms=4000,
+        stopped_by="the last end",
+        tries=tries,
+    )
+
+
+LOAD = [
+    not_taken(1.0, "gate-1", "u1"),
+    not_taken(1.1, "gate-2", "u2"),
+    refused(
+        1.4,
+        "not-run",
+        "overload",
+        [made("u1", "no-free-slot, not-run"), made("u2", "no-free-slot, not-run")],
+    ),
+]
+OTHERS = [
+    not_taken(1.0, "gate-1", "u1", "another"),
+    ran(1.0, "gate-2", "u2", "200", "another"),
+    line(0.5, "elsewhere", "link: lost", peer="x"),
+]
+
+
+def story(lines):
+    return "\n".join(tell(find(lines, ID)))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lines_of_all_daemons_are_told_in_order_whatever_theirs_is(seed):
+    shuffled = [*LOAD, *OTHERS]
+    random.Random(seed).shuffle(shuffled)
+    told = story(shuffled)
+    assert told == story([*LOAD, *OTHERS])
+    assert told.startswith("refused as overload, outcome not-run, after 351.0 ms")
+    assert told.index("not taken at u1") < told.index("not taken at u2")
+    assert "given up at entry; no upstream has run it" in told
+    assert "another" not in told
+    assert "link: lost" not in told  # of a daemon that had no part in it
+
+
+def test_an_answer_lost_on_its_way_back_is_told_from_a_request_that_never_came():
+    unknown = refused(1.4, "unknown", "peer-lost", [made("u1", "peer-lost, unknown")])
+    came = [ran(1.2, "gate-1", "u1", "200"), unknown]
+    assert "u1 answered 200; the answer was lost between its gate and" in story(came)
+    never = story([unknown])
+    assert "between entry and the gate of u1, or the line of that gate is" in never
+    assert "no line of its gate" in never
+
+
+def test_an_upstream_that_broke_is_named():
+    lines = [
+        ran(1.2, "gate-1", "u1", "upstream-lost, unknown"),
+        refused(
+            1.4, "unknown", "upstream-lost", [made("u1", "upstream-lost, unknown")]
+        ),
+    ]
+    assert "it was lost at u1: upstream-lost, unknown" in story(lines)
+
+
+@pytest.mark.parametrize(
+    ("status", "end"),
+    [(500, "it failed at u1, whose answer was passed on"), (200, "it was served")],
+)
+def test_an_answer_is_served_or_failed(status, end):
+    lines = [
+        ran(1.2, "gate-1", "u1", str(status)),
+        answered(1.4, status, [made("u1", str(status))]),
+    ]
+    assert end in story(lines)
+
+
+def test_what_a_daemon_of_the_request_learned_shortly_before_is_shown():
+    verdict = "health: the verdict on an upstream changed"
+    near = line(0.2, "gate-1", verdict, upstream="u1", verdict="sick")
+    other = line(0.3, "gate-9", verdict, upstream="u9", verdict="sick")
+    told = story([*LOAD, near, other])
+    assert "gate-1  health: the verdict on an upstream changed upstream=u1" in told
+    assert "u9" not in told
+
+
+def test_without_the_line_of_the_entry_nothing_is_guessed():
+    told = story(LOAD[:2])
+    assert "the line of its entry is missing" in told
+    assert "can't be told" in told
+
+
+def test_damaged_doubled_and_missing_lines_are_said():
+    damaged = LOAD[0][:60]
+    missing = line(1.3, "gate-1", "log: lines were left out", count=7)
+    other = line(1.3, "gate-9", "log: lines were left out", count=9)
+    told = story([*LOAD, LOAD[0], damaged, missing, other])
+    assert "1 damaged lines name the request" in told
+    assert "gate-1 left 7 lines out of its log" in told
+    assert "gate-9" not in told
+    assert told.count("not taken at u1 as") == 1
+
+
+def test_text_of_a_collector_in_front_of_a_line_is_skipped():
+    found = read_line(f"gate-1 | 12.5 | {LOAD[0]}\n")
+    assert (found.instance, found.event) == ("gate-1", "request: not taken")
+
+
+@pytest.mark.parametrize(
+    "text", ["", "plain text", "{", '{"a": 1}', '{"event": 3}', "a {} b", "{[]}"]
+)
+def test_text_that_is_no_log_line_is_none(text):
+    assert read_line(text) is None
+
+
+def test_command_reads_files_and_says_what_it_lacks(tmp_path, capsys):
+    path = tmp_path / "a.log"
+    path.write_text("\n".join(LOAD))
+    assert main(["explain", ID, str(path)]) == 0
+    assert "refused as overload" in capsys.readouterr().out
+    assert main(["explain", "no-such-id", str(path)]) == 1
+    assert "no line that can be read names no-such-id" in capsys.readouterr().err
+    assert main(["explain", ID, str(tmp_path / "none.log")]) == 2
+    assert "can't be read" in capsys.readouterr().err
+
+
+def test_lines_that_name_no_instance_are_told_too():
+    lines = [json.dumps({**json.loads(LOAD[0]), "instance": ""})]
+    assert "a daemon  not taken at u1" in story(lines)
