Run the rounds of a daemon on one thread, and wake an idle one less often

Cause: every periodic part had a thread and a fixed pace, and the reads of the platform looked ten times a second whether they were due.

Ruled out: longer paces; the gate's 50 ms bound how late a deadline is noticed.

Change: `Ticker` runs several tasks with one wait. A task that is due soon runs with the one before it, a task may know itself when it is due, and with no request under way rounds come every 0.25 s. Reads of the platform keep threads of their own.

Tests of services, sources, platform, membership, transport and the mesh processes pass.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -58,7 +58,7 @@
 from chicorychute.services.status import StatusReport
 from chicorychute.services.stopping import StopSignals
 from chicorychute.services.tables import TableService
-from chicorychute.services.ticker import Ticker
+from chicorychute.services.ticker import Task, Ticker
 from chicorychute.sources.base import ListedUpstream, PlatformBackend
 from chicorychute.sources.http import HttpPlatform
 from chicorychute.sources.pacing import ReadPace
@@ -184,12 +184,14 @@
             if get("gossip", "scope") == "region"
             else MembershipView(own, suspect_after_s, self._clock, self._rng)
         )
+        self._list_pace = self._pace(get("platform", "poll_s").total_seconds())
+        self._watch_pace = self._pace(0.0)
         self._fleet = FleetService(
             view,
             self._platform,
             get("peer", "seeds"),
             self._senders,
-            self._pace(get("platform", "poll_s").total_seconds()),
+            self._list_pace,
             self._rng,
             self._on_listed_leaving,
             self._on_listed,
@@ -201,7 +203,7 @@
             self._platform,
             self._fleet,
             self._senders,
-            self._pace(0.0),
+            self._watch_pace,
             self._rng,
             self._on_table,
         )
@@ -324,19 +326,28 @@
     def _make_tickers(self, platform: PlatformBackend | None) -> list[Ticker]:
         get = self._settings.get
         gossip_s = get("gossip", "interval_s").total_seconds()
-        tickers = [
-            Ticker("gate", QUEUE_TICK_S, self._gate.tick),
-            Ticker("callers", CALLER_TICK_S, self._callers.poll),
-            Ticker("probe", PROBE_TICK_S, self._gate.probe),
-            Ticker("gossip", gossip_s, self._gossip),
-            Ticker("notices", NOTICE_REPAIR_S, self._repair_notices),
-            Ticker("settings", SETTINGS_TICK_S, self._reload.poll),
+        tasks = [
+            Task("gate", QUEUE_TICK_S, self._gate.tick),
+            Task("callers", CALLER_TICK_S, self._callers.poll),
+            Task("probe", PROBE_TICK_S, self._gate.probe),
+            Task("gossip", gossip_s, self._gossip),
+            Task("notices", NOTICE_REPAIR_S, self._repair_notices),
+            Task("settings", SETTINGS_TICK_S, self._reload.poll),
         ]
+        tickers = [Ticker("rounds", tasks, self._clock, self._is_idle)]
         if platform is not None:
-            tickers.append(Ticker("list", PLATFORM_TICK_S, self._fleet.read_list))
-            tickers.append(Ticker("watch", PLATFORM_TICK_S, self._watch))
+            tickers.append(self._reader("list", self._fleet.read_list, self._list_pace))
+            tickers.append(self._reader("watch", self._watch, self._watch_pace))
         return tickers
 
+    def _reader(self, name: str, work: Callable[[], object], pace: ReadPace) -> Ticker:
+        """Return a thread of its own for reads, which may wait for the platform."""
+        task = Task(name, PLATFORM_TICK_S, work, lambda: pace.left_s)
+        return Ticker(name, [task], self._clock)
+
+    def _is_idle(self) -> bool:
+        return self._gate.idle() and self._callers.idle()
+
     def _pace(self, interval_s: float) -> ReadPace:
         spread_s = self._settings.get("platform", "start_spread_s").total_seconds()
         longest_s = self._settings.get("platform", "longest_pause_s").total_seconds()
--- a/chicorychute/services/ticker.py
+++ b/chicorychute/services/ticker.py
@@ -1,36 +1,92 @@
-"""Calls a function at a steady pace on a thread of its own."""
+"""Calls functions at a steady pace on a thread of their own."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+import attrs
 import structlog
 
+from chicorychute.core.clock import Clock
+
+IDLE_PAUSE_S = 0.25  # a first caller may wait so long for what only rounds notice
+
 logger = structlog.get_logger()
 
 
+@attrs.define
+class Task:
+    """Function to call every `interval_s` seconds.
+
+    Attributes
+    ----------
+    pause_s : callable, optional
+        Returns the time until the next call in place of the interval, in seconds;
+        for work that knows when it is due.
+    due_s : float
+        Reading of the ticker's clock at which it is called next.
+    """
+
+    name: str
+    interval_s: float
+    work: Callable[[], object]
+    pause_s: Callable[[], float] | None = None
+    due_s: float = 0.0
+
+    def run(self, clock: Clock) -> None:
+        """Call the function and plan the next call."""
+        try:
+            self.work()
+        except Exception:
+            logger.exception("ticker: a round failed", task=self.name)
+        pause_s = self.interval_s if self.pause_s is None else self.pause_s()
+        self.due_s = clock.monotonic() + max(pause_s, self.interval_s)
+
+
 class Ticker:
-    """Thread that runs `work` every `interval_s` seconds until stopped."""
+    """Thread that calls each of its tasks when it is due, until stopped.
+
+    Each wake-up of a thread costs more than most rounds do, so a task that is due
+    before half of the shortest interval is over is called with the one before it,
+    and an idle daemon wakes less often.
 
-    def __init__(self, name: str, interval_s: float, work: Callable[[], None]):
-        self._name = name
-        self._interval_s = interval_s
-        self._work = work
+    Parameters
+    ----------
+    is_idle : callable, optional
+        Whether nothing is under way that the tasks watch.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        tasks: Iterable[Task],
+        clock: Clock,
+        is_idle: Callable[[], bool] = lambda: False,
+    ):
+        self._tasks = tuple(tasks)
+        self._clock = clock
+        self._slack_s = min(task.interval_s for task in self._tasks) / 2
+        self._is_idle = is_idle
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
     def start(self) -> None:
-        """Start the thread; the first call comes at once."""
+        """Start the thread; the first calls come at once."""
         self._thread.start()
 
     def stop(self) -> None:
         """Ask the thread to end after the call under way."""
         self._stopped.set()
 
+    def round(self) -> float:
+        """Call every task that is due; returns the pause until the next, in seconds."""
+        latest_s = self._clock.monotonic() + self._slack_s
+        for task in self._tasks:
+            if task.due_s <= latest_s:
+                task.run(self._clock)
+        due_s = min(task.due_s for task in self._tasks)
+        pause_s = max(0.0, due_s - self._clock.monotonic())
+        return max(pause_s, IDLE_PAUSE_S) if self._is_idle() else pause_s
+
     def _run(self) -> None:
-        while True:
-            try:
-                self._work()
-            except Exception:
-                logger.exception("ticker: a round failed", ticker=self._name)
-            if self._stopped.wait(self._interval_s):
-                return
+        while not self._stopped.wait(self.round()):
+            pass
--- a/chicorychute/sources/pacing.py
+++ b/chicorychute/sources/pacing.py
@@ -45,9 +45,14 @@
         """Seconds since the last read that failed."""
         return self._clock.monotonic() - self._failed_s
 
+    @property
+    def left_s(self) -> float:
+        """Seconds until the next read may start, not above 0 if it may now."""
+        return self._next_s - self._clock.monotonic()
+
     def due(self) -> bool:
         """Return whether a read may start now."""
-        return self._clock.monotonic() >= self._next_s
+        return self.left_s <= 0
 
     def succeeded(self) -> None:
         """Plan the read after one that gave an answer."""
--- a/chicorychute/transport/callers.py
+++ b/chicorychute/transport/callers.py
@@ -30,6 +30,10 @@
             with self._lock:
                 self._scope_by_fd.pop(fd, None)
 
+    def idle(self) -> bool:
+        """Return whether no request is handled."""
+        return not self._scope_by_fd
+
     def poll(self) -> None:
         """Cancel the request of each caller that is gone."""
         poller = select.poll()
--- /dev/null
+++ b/tests/services/test_ticker.py
@@ -0,0 +1,69 @@
+"""Rounds of a ticker on a clock that moves only when told to."""
+
+import pytest
+
+from chicorychute.core.clock import ManualClock
+from chicorychute.services.ticker import IDLE_PAUSE_S, Task, Ticker
+
+FAST_S = 0.05
+SLOW_S = 0.1
+
+
+def drive(ticker, clock, seconds):
+    """Run rounds as the thread does; return how often it woke up."""
+    end_s = clock.monotonic() + seconds
+    rounds = 0
+    while clock.monotonic() < end_s:
+        clock.advance(ticker.round())
+        rounds += 1
+    return rounds
+
+
+def test_tasks_share_wake_ups_and_keep_their_pace():
+    clock = ManualClock()
+    calls = []
+    tasks = [
+        Task("fast", FAST_S, lambda: calls.append("fast")),
+        Task("slow", SLOW_S, lambda: calls.append("slow")),
+        Task("rare", 1.0, lambda: calls.append("rare")),
+    ]
+    rounds = drive(Ticker("test", tasks, clock), clock, 10.0)
+    assert rounds == pytest.approx(10 / FAST_S, abs=2)
+    assert calls.count("fast") == rounds
+    assert calls.count("slow") == pytest.approx(10 / SLOW_S, abs=2)
+    assert calls.count("rare") == pytest.approx(10, abs=1)
+
+
+def test_an_idle_daemon_wakes_less_often():
+    clock = ManualClock()
+    tasks = [Task("fast", FAST_S, lambda: None)]
+    rounds = drive(Ticker("test", tasks, clock, lambda: True), clock, 10.0)
+    assert rounds == pytest.approx(10 / IDLE_PAUSE_S, abs=1)
+
+
+def test_work_that_knows_when_it_is_due_is_not_called_before():
+    clock = ManualClock()
+    calls_s = []
+    task = Task("read", SLOW_S, lambda: calls_s.append(clock.monotonic()), lambda: 2.5)
+    drive(Ticker("test", [task], clock), clock, 6.0)
+    assert calls_s == [0.0, 2.5, 5.0]
+
+
+def test_work_that_was_due_long_ago_keeps_the_least_pause():
+    clock = ManualClock()
+    calls_s = []
+    task = Task("read", SLOW_S, lambda: calls_s.append(clock.monotonic()), lambda: -3.0)
+    drive(Ticker("test", [task], clock), clock, 1.0)
+    assert len(calls_s) == pytest.approx(1.0 / SLOW_S, abs=1)
+
+
+def test_a_round_that_fails_holds_up_no_other():
+    clock = ManualClock()
+    calls = []
+
+    def fail():
+        raise ValueError("broken")
+
+    tasks = [Task("bad", FAST_S, fail), Task("good", FAST_S, lambda: calls.append(1))]
+    rounds = drive(Ticker("test", tasks, clock), clock, 1.0)
+    assert len(calls) == rounds > 1
