Follow the store's changes instead of reading the whole list each second

Cause: every daemon read the whole list of upstreams once a second, by stale reads. A read grows with the fleet (34,000 entries at the target's size, some megabytes), and a stale read may be seconds old while a leaving upstream must be left in 2.5 s.

Change: the adapter reads the list once and then watches it. `UpstreamMirror` holds the entries and takes changes by their revision. An entry that vanishes without leaving first may have lapsed in an outage: it stays listed until the store has answered once more. Keep-alive probes and a bound on unconfirmed bytes find a connection that went silent within 3 s. Dropped history is read anew.

--- a/chicorychute/platform/backend.py
+++ b/chicorychute/platform/backend.py
@@ -3,17 +3,17 @@
 import structlog
 from result import Err, Ok, Result
 
+from chicorychute.platform.mirror import UpstreamMirror
 from chicorychute.platform.store import HistoryGone, StoreClient
 from chicorychute.platform.tables import PolicyCells, render_table
 from chicorychute.platform.wire import (
     CONFIG_KEY,
     UPSTREAM_PREFIX,
+    StoreChanges,
     StoreItem,
-    StorePage,
     UpstreamEntry,
     WireError,
     read_config,
-    read_upstream,
 )
 from chicorychute.sources.base import (
     ListedInstance,
@@ -23,6 +23,8 @@
     TableDocument,
 )
 
+LIST_WAIT_S = 10.0  # every call is charged; the store allows 30 s
+
 logger = structlog.get_logger()
 
 
@@ -42,6 +44,7 @@
         self._peer_port = peer_port
         self._policy = policy
         self._watched_to: int | None = None
+        self._mirror: UpstreamMirror | None = None
         self._services: frozenset[str] = frozenset()
         self._bad_keys: frozenset[str] = frozenset()
 
@@ -57,10 +60,9 @@
         if self._watched_to is None:
             return self._read_config()
         match self._store.watch(CONFIG_KEY, self._watched_to, wait_s):
-            case Ok(page):
-                self._watched_to = max(self._watched_to, page.store_revision)
-                newest = [item for item in page.items if item.key == CONFIG_KEY]
-                return self._document(newest[-1]) if newest else Ok(None)
+            case Ok(changes):
+                self._watched_to = max(self._watched_to, changes.store_revision)
+                return self._newest(changes)
             case Err(HistoryGone()):
                 self._watched_to = None
                 return self._read_config()
@@ -70,14 +72,16 @@
                 return Err(error)
 
     def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
-        """Read the upstreams; each stands for the instance at its address."""
-        match self._store.items(UPSTREAM_PREFIX, stale=True):
+        """Return the instances; each stands for the upstreams at its address.
+
+        The first call reads every entry, each later one waits for a change. A list
+        takes some kilobytes for each daemon, a change some hundred bytes.
+        """
+        match self._read_upstreams() if self._mirror is None else self._watch_list():
             case Err(error):
                 return Err(error)
-            case Ok(pages):
-                entries = self._entries(pages)
         by_host: dict[str, list[ListedUpstream]] = {}
-        for entry in entries:
+        for entry in self._usable_entries():
             host = entry.address.rpartition(":")[0]
             by_host.setdefault(host, []).append(_listed(entry))
         return Ok(
@@ -87,6 +91,38 @@
             )
         )
 
+    def _read_upstreams(self) -> Result[None, PlatformError]:
+        match self._store.items(UPSTREAM_PREFIX):
+            case Err(error):
+                return Err(error)
+            case Ok(pages):
+                self._mirror = UpstreamMirror(pages)
+        return Ok(None)
+
+    def _watch_list(self) -> Result[None, PlatformError]:
+        mirror = self._mirror
+        match self._follow(mirror, LIST_WAIT_S):
+            case Err(HistoryGone()):
+                return self._read_upstreams()
+            case Err(error):
+                return Err(error)
+        if mirror.has_lapsed:
+            match self._follow(mirror, 0.0):
+                case Err(error):
+                    return Err(error)
+            mirror.drop_lapsed()
+        return Ok(None)
+
+    def _follow(
+        self, mirror: UpstreamMirror, wait_s: float
+    ) -> Result[None, PlatformError]:
+        match self._store.watch(UPSTREAM_PREFIX, mirror.revision, wait_s):
+            case Ok(changes):
+                mirror.apply(changes)
+                return Ok(None)
+            case Err(error):
+                return Err(error)
+
     def _read_config(self) -> Result[TableDocument | None, PlatformError]:
         match self._store.key(CONFIG_KEY):
             case Ok(None):
@@ -97,6 +133,16 @@
             case Err(error):
                 return Err(error)
 
+    def _newest(
+        self, changes: StoreChanges
+    ) -> Result[TableDocument | None, PlatformError]:
+        written = [
+            change
+            for change in changes.changes
+            if isinstance(change, StoreItem) and change.key == CONFIG_KEY
+        ]
+        return self._document(written[-1]) if written else Ok(None)
+
     def _document(self, item: StoreItem) -> Result[TableDocument, PlatformError]:
         try:
             config = read_config(item.value)
@@ -107,24 +153,20 @@
         text = render_table(config, self._policy)
         return Ok(TableDocument(config.version, text))
 
-    def _entries(self, pages: list[StorePage]) -> list[UpstreamEntry]:
-        """Return the entries that can be read; another writer may add bad ones."""
-        entries = []
-        bad = {text: "no item" for page in pages for text in page.unreadable}
-        for item in (item for page in pages for item in page.items):
-            try:
-                entry = read_upstream(item)
-            except WireError as error:
-                bad[item.key] = str(error)
-                continue
+    def _usable_entries(self) -> list[UpstreamEntry]:
+        """Return the entries of known services, and log each new one that is not."""
+        usable = []
+        fault_by_key = dict(self._mirror.fault_by_key)
+        for entry in self._mirror.entries:
             if self._services and entry.service not in self._services:
-                bad[item.key] = f"service {entry.service} is unknown"
-                continue
-            entries.append(entry)
-        for key in bad.keys() - self._bad_keys:
-            logger.warning("platform: an entry is ignored", key=key, cause=bad[key])
-        self._bad_keys = frozenset(bad)
-        return entries
+                fault_by_key[entry.id] = f"service {entry.service} is unknown"
+            else:
+                usable.append(entry)
+        for key in fault_by_key.keys() - self._bad_keys:
+            cause = fault_by_key[key]
+            logger.warning("platform: an entry is ignored", key=key, cause=cause)
+        self._bad_keys = frozenset(fault_by_key)
+        return usable
 
 
 def _listed(entry: UpstreamEntry) -> ListedUpstream:
--- a/chicorychute/platform/store.py
+++ b/chicorychute/platform/store.py
@@ -1,15 +1,18 @@
 """Client of the platform's store; it only reads."""
 
+import socket
 from urllib.parse import urlencode
 
 import urllib3
 from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
 
 from chicorychute.platform.wire import (
+    StoreChanges,
     StoreItem,
     StorePage,
     WireError,
-    read_events,
+    read_changes,
     read_item,
     read_page,
 )
@@ -18,6 +21,17 @@
 
 CONNECT_TIMEOUT_S = 1.0  # the store answers in milliseconds, 60 ms from elsewhere
 READ_TIMEOUT_S = 2.0  # below the 2.5 s in which a change must be in force
+WATCH_MARGIN_S = 1.0
+# A connection that went silent ends within 3 s, before the 4 s after which the
+# platform counts a daemon as in touch again.
+KEEPALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+UNACKED_MS = 1500  # a call that no packet of the store confirms has failed
+CONNECTIONS = 2  # one for the list, one for the table
 NOT_FOUND = 404
 GONE = 410
 
@@ -37,25 +51,21 @@
 
     def __init__(self, url: str):
         self._url = url
-        self._pool = urllib3.PoolManager(retries=False)
+        unacked = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        options = [*HTTPConnection.default_socket_options, *KEEPALIVE, unacked]
+        self._pool = urllib3.PoolManager(
+            retries=False, maxsize=CONNECTIONS, socket_options=options
+        )
         self.calls = Tally()
 
     def key(self, key: str) -> Result[tuple[StoreItem, int] | None, PlatformError]:
         """Return one item with the store's revision, None where there is none."""
         return self._call("kv-key", {"key": key}, read_item, NOT_FOUND)
 
-    def items(self, prefix: str, stale: bool) -> Result[list[StorePage], PlatformError]:
-        """Return every page of the items whose keys begin with `prefix`.
-
-        Parameters
-        ----------
-        stale : bool
-            Whether what is seconds old will do; such a call costs a tenth.
-        """
+    def items(self, prefix: str) -> Result[list[StorePage], PlatformError]:
+        """Return every page of the items whose keys begin with `prefix`."""
         pages: list[StorePage] = []
         query = {"path_prefix": prefix}
-        if stale:
-            query["allow_stale"] = "1"
         while not pages or not pages[-1].is_last:
             match self._call("kv-range", query, read_page):
                 case Ok(page):
@@ -69,26 +79,26 @@
 
     def watch(
         self, prefix: str, after: int, wait_s: float
-    ) -> Result[StorePage, PlatformError]:
+    ) -> Result[StoreChanges, PlatformError]:
         """Return what changed since revision `after`, at most `wait_s` later.
 
         Returns
         -------
-        Ok of the items written; Err of HistoryGone where the store has dropped
-        these changes
+        Ok of the changes; Err of HistoryGone where the store has dropped them
         """
         query = {
             "path_prefix": prefix,
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        return self._call("kv-watch", query, read_events, wait_s=wait_s)
+        read_s = wait_s + WATCH_MARGIN_S
+        return self._call("kv-watch", query, read_changes, read_s=read_s)
 
-    def _call(self, name, query, read, none_status: int = 0, wait_s: float = 0.0):
+    def _call(
+        self, name, query, read, none_status: int = 0, read_s: float = READ_TIMEOUT_S
+    ):
         url = f"{self._url}/chicorychute/{name}?{urlencode(query, safe='/')}"
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=wait_s + READ_TIMEOUT_S
-        )
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_s)
         try:
             answer = self._pool.request("GET", url, timeout=timeout)
         except urllib3.exceptions.HTTPError as error:
--- a/chicorychute/platform/wire.py
+++ b/chicorychute/platform/wire.py
@@ -58,6 +58,34 @@
     unreadable: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class Removal:
+    """Key that the store no longer holds.
+
+    Attributes
+    ----------
+    changed_at : int
+        Revision of the store at the removal; on the wire ``rev``.
+    """
+
+    key: str
+    changed_at: int
+
+
+@attrs.frozen
+class StoreChanges:
+    """What a watch tells, oldest first; on the wire ``events``.
+
+    Attributes
+    ----------
+    store_revision : int
+        Revision from which to watch on; on the wire ``current_rev``.
+    """
+
+    changes: tuple[StoreItem | Removal, ...]
+    store_revision: int
+
+
 @attrs.frozen
 class RoutePart:
     """Service that takes a part of a route's requests; on the wire in ``split``."""
@@ -173,15 +201,11 @@
     return _item(body), _whole(body, "current_rev")
 
 
-def read_events(data: bytes) -> StorePage:
-    """Read the answer to a watch: the items written, without those removed."""
+def read_changes(data: bytes) -> StoreChanges:
+    """Read the answer to a watch."""
     body = _object(data)
-    written = tuple(
-        _item(event)
-        for event in body.get("events", [])
-        if not (isinstance(event, dict) and event.get("removed") is True)
-    )
-    return StorePage(written, _whole(body, "current_rev"), is_last=True)
+    changes = tuple(_change(event) for event in body.get("events", []))
+    return StoreChanges(changes, _whole(body, "current_rev"))
 
 
 def read_config(value: bytes) -> ConfigCells:
@@ -269,6 +293,19 @@
         yield dict(zip(columns, cells, strict=False))
 
 
+def _change(event: Any) -> StoreItem | Removal:
+    if not isinstance(event, dict):
+        raise WireError("a change is no object", "read the items again")
+    key, changed_at = _text(event, "key"), _whole(event, "rev")
+    if event.get("removed") is True:
+        return Removal(key, changed_at)
+    try:
+        return _item(event)
+    except WireError:
+        # It replaced what the key held, so that it must not be passed over.
+        return StoreItem(key, b"", changed_at)
+
+
 def _item(given: Any) -> StoreItem:
     if not isinstance(given, dict):
         raise WireError("an item is no object", "ignore it")
--- a/chicorychute/sources/base.py
+++ b/chicorychute/sources/base.py
@@ -67,5 +67,8 @@
         raise NotImplementedError
 
     def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
-        """Return the platform's list, which lags behind reality."""
+        """Return the platform's list, which lags behind reality.
+
+        A call after the first may wait some seconds for a change.
+        """
         raise NotImplementedError
--- a/standins/store.py
+++ b/standins/store.py
@@ -22,10 +22,13 @@
         Status of every answer, 0 for none.
     history_from : int
         Oldest revision whose changes are still known.
+    fail_after : int
+        Number of calls after which each is refused, 0 for none.
     """
 
     status: int = 0
     history_from: int = 0
+    fail_after: int = 0
 
 
 class StoreApplication:
@@ -78,8 +81,9 @@
         query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
         name = environ["PATH_INFO"].rpartition("/")[2]
         self.calls.append(name)
-        if self.faults.status:
-            start_response(f"{self.faults.status} Fault", JSON)
+        faults = self.faults
+        if faults.status or 0 < faults.fail_after < len(self.calls):
+            start_response(f"{faults.status or 503} Fault", JSON)
             return [b"{}"]
         answer = {
             "kv-key": self._key,
--- a/tests/platform/test_backend.py
+++ b/tests/platform/test_backend.py
@@ -93,3 +93,56 @@
     (line,) = lines
     assert line["event"] == "platform: an entry is ignored"
     assert "servers/a" in line["key"]
+
+
+def test_list_is_read_once_and_then_follows_the_changes(store, platform):
+    store.put("servers/a", entry("10.0.0.1:80"))
+    store.put("servers/b", entry("10.0.0.2:80"))
+    platform.read_instances()
+    reads = store.calls.count("kv-range")
+    store.put("servers/c", entry("10.0.0.3:80"))
+    store.remove("servers/a")
+    listed = platform.read_instances().ok_value
+    assert sorted(item.host for item in listed) == ["10.0.0.2", "10.0.0.3"]
+    leaving = {"state": "draining", "seq": 2, "cold_left": "0ms"}
+    store.put("servers/b", entry("10.0.0.2:80", status=leaving))
+    listed = platform.read_instances().ok_value
+    assert [u.leaving for item in listed for u in item.upstreams] == [True, False]
+    assert store.calls.count("kv-range") == reads
+
+
+def test_list_is_read_anew_once_the_store_dropped_its_history(store, platform):
+    store.put("servers/a", entry("10.0.0.1:80"))
+    platform.read_instances()
+    store.remove("servers/a")
+    store.put("servers/b", entry("10.0.0.2:80"))
+    store.forget_history()
+    listed = platform.read_instances().ok_value
+    assert [item.host for item in listed] == ["10.0.0.2"]
+
+
+def test_changes_missed_while_the_store_refused_come_with_the_next_call(
+    store, platform
+):
+    store.put("servers/a", entry("10.0.0.1:80"))
+    platform.read_instances()
+    store.faults.status = 503
+    assert platform.read_instances().is_err()
+    store.remove("servers/a")
+    store.faults.status = 0
+    assert platform.read_instances().ok_value == ()
+
+
+def test_what_lapses_in_an_outage_stays_listed_until_the_store_answers_again(
+    store, platform
+):
+    store.put("servers/a", entry("10.0.0.1:80"))
+    platform.read_instances()
+    store.remove("servers/a")
+    store.faults.fail_after = len(store.calls) + 1  # the watch, and no call after it
+    assert platform.read_instances().is_err()
+    assert platform._mirror.entries
+    store.faults.fail_after = 0
+    store.put("servers/a", entry("10.0.0.1:80"))
+    listed = platform.read_instances().ok_value
+    assert [item.host for item in listed] == ["10.0.0.1"]
