Recall requests whose link is silent or broke, through another instance

Cause: a way cut in one direction breaks no connection. Connections that were reset ended orders as unknown while their gate still ran them.

Ruled out: shorter time-outs (they tell unknown sooner and repeat what runs), an acknowledgement of each message, a turn of offer and go for each request.

Change: a silent link is pinged after 0.25 s; without a sign of life the entry asks the gate for the end through a third instance, or over a new link where the old one broke.

--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -10,7 +10,7 @@
 
 from chicorychute.core.outcomes import Outcome, Reason
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -389,6 +389,58 @@
     sole: bool = False
 
 
+@attrs.frozen
+class Recall:
+    """Asks a gate, mostly through a third instance, for the end of a request.
+
+    Attributes
+    ----------
+    gate, gate_incarnation
+        Process that the request was sent to; a later one knows nothing of it.
+    entry, entry_incarnation, id
+        Process that sent it, and its number there.
+    left_ms : float
+        Time until its deadline.
+    request : str
+        Id of the caller's request, for the logs.
+    """
+
+    gate: str
+    gate_incarnation: int
+    entry: str
+    entry_incarnation: int
+    id: int
+    left_ms: float
+    request: str
+
+
+@attrs.frozen
+class RecallNoted:
+    """Tells an entry that the request runs and its end will be told."""
+
+    entry: str
+    entry_incarnation: int
+    id: int
+
+
+@attrs.frozen
+class RecalledAnswer:
+    """Tells an entry the answer to a request that it recalled."""
+
+    entry: str
+    entry_incarnation: int
+    head: AnswerHead
+
+
+@attrs.frozen
+class RecalledRefusal:
+    """Tells an entry the refusal of a request that it recalled."""
+
+    entry: str
+    entry_incarnation: int
+    refusal: Refusal
+
+
 Message = (
     Hello
     | Forward
@@ -407,4 +459,8 @@
     | AnswerCredit
     | DigestUpdate
     | Beat
+    | Recall
+    | RecallNoted
+    | RecalledAnswer
+    | RecalledRefusal
 )
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -29,6 +29,10 @@
     Message,
     ProbeRequest,
     QuarantineNotice,
+    Recall,
+    RecalledAnswer,
+    RecalledRefusal,
+    RecallNoted,
     Refusal,
     Relay,
     TableAnnounce,
@@ -52,6 +56,7 @@
 from chicorychute.services.gate import GateService
 from chicorychute.services.notices import NoticeService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.recalls import RecallService
 from chicorychute.services.recorder import NoRecorder, Recorder
 from chicorychute.services.reloading import SettingsWatch
 from chicorychute.services.seats import ServerSeats
@@ -81,6 +86,7 @@
 QUEUE_TICK_S = 0.05
 NOTICE_REPAIR_S = 2.0
 CALLER_TICK_S = 0.1
+RECALL_TICK_S = 0.05
 PROBE_TICK_S = 0.1
 SETTINGS_TICK_S = 1.0  # a change of the file takes effect within it
 PLATFORM_TICK_S = 0.1
@@ -149,7 +155,18 @@
         self._build_gate(hello)
         self._build_shutdown()
         handle = self._build_pipeline(hello)
-        self._peers = PeerService(self._gate, self._clock, handle, self._tables.table)
+        self._peers = PeerService(
+            self._gate, self._clock, handle, self._tables.table, hello.incarnation
+        )
+        self._recalls = RecallService(
+            self._exchanges,
+            self._fleet,
+            self._senders,
+            lambda: self._peers,
+            self._clock,
+            self._rng,
+            self._telemetry.recall_steps,
+        )
         self._build_edge(handle)
         self._build_operator()
         self._tickers = self._make_tickers(self._platform)
@@ -333,6 +350,7 @@
         tasks = [
             Task("gate", QUEUE_TICK_S, self._gate.tick),
             Task("callers", CALLER_TICK_S, self._callers.poll),
+            Task("recalls", RECALL_TICK_S, self._recalls.tick),
             Task("probe", PROBE_TICK_S, self._gate.probe),
             Task("gossip", gossip_s, self._gossip),
             Task("notices", NOTICE_REPAIR_S, self._repair_notices),
@@ -480,6 +498,10 @@
                 self._tables.on_update(link, message)
             case QuarantineNotice():
                 self._gate.on_notice(message)
+            case Recall():
+                self._recalls.on_recall(link, message)
+            case RecallNoted() | RecalledAnswer() | RecalledRefusal():
+                self._recalls.on_reply(message)
 
     def _on_closed(self, link: Link) -> None:
         link.windows.close()
--- a/chicorychute/explain/story.py
+++ b/chicorychute/explain/story.py
@@ -50,7 +50,7 @@
 
 def _sentence(line: LogLine) -> str:
     tell_it = _SENTENCE_BY_EVENT.get(line.event)
-    return line.event if tell_it is None else tell_it(line)
+    return _belief(line) if tell_it is None else tell_it(line)
 
 
 def _answered(line: LogLine) -> str:
@@ -174,7 +174,7 @@
 
 
 def _belief(line: LogLine) -> str:
-    hidden = {"event", "timestamp", "instance", "level"}
+    hidden = {"event", "timestamp", "instance", "level", "id"}
     fields = [f"{k}={v}" for k, v in line.fields.items() if k not in hidden]
     return " ".join([line.event, *fields])
 
--- a/chicorychute/membership/nearby.py
+++ b/chicorychute/membership/nearby.py
@@ -149,7 +149,6 @@
         echoed = beat.echo_incarnation == self._own.incarnation
         if echoed and beat.echo in self._sent_s_by_beat:
             known.confirmed_s = self._sent_s_by_beat[beat.echo]
-            known.lost_s = None
         return beat.echo_incarnation != self._own.incarnation
 
     def take_listed(self, listed: Iterable[ListedInstance]) -> None:
@@ -212,11 +211,13 @@
         if peer.record.status is not MemberStatus.ALIVE:
             return peer.record.status
         now_s = self._clock.monotonic()
-        if peer.record.region == self._own.region:
-            sure = peer.confirmed_s is not None
-            alive = sure and now_s - peer.confirmed_s <= self._limit_s
-        else:
+        if peer.record.region != self._own.region:
             alive = peer.lost_s is None or now_s - peer.lost_s > FAR_DOUBT_S
+        elif peer.confirmed_s is None:
+            alive = False
+        else:
+            proved = peer.lost_s is None or peer.confirmed_s > peer.lost_s
+            alive = proved and now_s - peer.confirmed_s <= self._limit_s
         return MemberStatus.ALIVE if alive else MemberStatus.SUSPECT
 
     def record_of(self, instance: str) -> MemberRecord | None:
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -46,6 +46,7 @@
     CHUNK_BYTES,
     Exchange,
     Exchanges,
+    GateSend,
     send_body_rest,
 )
 from chicorychute.services.fleet import FleetService
@@ -262,6 +263,7 @@
             ),
             upstream,
             unreachable,
+            recallable=True,
         )
 
     def _count_bytes(self, request: Request, reply: Reply) -> Reply:
@@ -301,6 +303,7 @@
         make: Callable[[int, Work, bytes, bool], Forward | Relay],
         upstream: str,
         unreachable: Refused,
+        recallable: bool = False,
     ) -> Reply:
         try:
             link = self._hub().link_to(address)
@@ -308,7 +311,9 @@
             return unreachable
         if self._clock.monotonic() >= request.deadline_s:
             return attrs.evolve(unreachable, reason=Reason.DEADLINE)
-        exchange = self._exchanges.open(link)
+        repeatable = request.row.repeat is Repeat.IDEMPOTENT
+        send = GateSend(request.deadline_s, repeatable, request.id)
+        exchange = self._exchanges.open(link, send if recallable else None)
         body = request.body
         more = len(body) > CHUNK_BYTES
         call = make(exchange.id, self._work(request), body[:CHUNK_BYTES], more)
@@ -317,8 +322,9 @@
             if more:
                 send_body_rest(link, exchange.id, body)
         except LinkError as error:
-            self._exchanges.close(exchange)
-            return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, str(error))
+            if repeatable or not recallable:
+                self._exchanges.close(exchange)
+                return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, str(error))
         if request.row.repeat is not Repeat.ONCE:
             request.scope.bind(lambda: _cancel(exchange))
         return self._exchanges.wait(exchange, request.deadline_s, upstream)
--- a/chicorychute/services/exchanges.py
+++ b/chicorychute/services/exchanges.py
@@ -6,6 +6,8 @@
 import threading
 from collections.abc import Iterator
 
+import attrs
+
 from chicorychute.core.clock import Clock
 from chicorychute.core.messages import (
     AnswerChunk,
@@ -17,11 +19,14 @@
 )
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply
+from chicorychute.routing.recall import Recalls
 from chicorychute.transport.links import Link, LinkError
 
 CHUNK_BYTES = 64 << 10
 CREDIT_CHUNKS = 8  # half of a sender's window, so that it seldom waits
 
+LOST_DETAIL = "the link was lost before the whole answer came"
+
 AnswerPart = AnswerHead | AnswerChunk | Refusal
 
 
@@ -38,14 +43,45 @@
         link.send(BodyChunk(id, data, start + CHUNK_BYTES >= len(body)))
 
 
+@attrs.frozen
+class GateSend:
+    """What it takes to recall a request that was sent to a gate.
+
+    Attributes
+    ----------
+    request : str
+        Id of the caller's request.
+    """
+
+    deadline_s: float
+    repeatable: bool
+    request: str
+
+
 class Exchange:
-    """One request sent to a peer and the parts of its answer."""
+    """One request sent to a peer and the parts of its answer.
+
+    Attributes
+    ----------
+    send : GateSend, optional
+        Absent where the peer does not know the request by this send alone.
+    recalls : Recalls, optional
+        Present with `send`.
+    """
 
-    def __init__(self, id: int, link: Link):
+    def __init__(self, id: int, link: Link, sent_s: float, send: GateSend | None):
         self.id = id
         self.link = link
+        self.send = send
+        self.recalls = None if send is None else Recalls(sent_s, send.repeatable)
+        self.has_answer = False
         self.parts: queue.SimpleQueue[AnswerPart] = queue.SimpleQueue()
 
+    def put(self, part: AnswerPart) -> None:
+        """Take a part of the answer."""
+        self.has_answer = True
+        self.parts.put(part)
+
 
 class Exchanges:
     """Open exchanges by id; answers of any other id are dropped."""
@@ -56,9 +92,9 @@
         self._lock = threading.Lock()
         self._exchange_by_id: dict[int, Exchange] = {}
 
-    def open(self, link: Link) -> Exchange:
+    def open(self, link: Link, send: GateSend | None = None) -> Exchange:
         """Register a new exchange on `link`."""
-        exchange = Exchange(next(self._ids), link)
+        exchange = Exchange(next(self._ids), link, self._clock.monotonic(), send)
         with self._lock:
             self._exchange_by_id[exchange.id] = exchange
         return exchange
@@ -74,21 +110,51 @@
         with contextlib.suppress(LinkError):
             exchange.link.send(Cancel(exchange.id))
 
+    def waiting(self) -> list[Exchange]:
+        """Return every exchange that can be recalled and has no answer yet."""
+        with self._lock:
+            exchanges = list(self._exchange_by_id.values())
+        return [e for e in exchanges if e.send is not None and not e.has_answer]
+
     def on_part(self, link: Link, part: AnswerPart) -> None:
         """Hand a part to its exchange, if it came on the exchange's link."""
         exchange = self._exchange_by_id.get(part.id)
         if exchange is not None and exchange.link is link:
-            exchange.parts.put(part)
+            exchange.put(part)
+
+    def on_noted(self, id: int) -> None:
+        """Note that the gate of a recalled request runs it."""
+        exchange = self._exchange_by_id.get(id)
+        if exchange is not None and exchange.recalls is not None:
+            exchange.recalls.noted(self._clock.monotonic())
+
+    def on_recalled(self, end: AnswerHead | Refusal) -> None:
+        """Hand the end of a recalled request to its exchange."""
+        exchange = self._exchange_by_id.get(end.id)
+        if exchange is None or exchange.send is None or exchange.has_answer:
+            return
+        withdrawn = isinstance(end, Refusal) and end.reason is Reason.CANCELLED
+        if withdrawn:
+            # The gate withdrew it with the link; the caller did not.
+            end = attrs.evolve(end, reason=Reason.PEER_LOST)
+        exchange.put(end)
+
+    def give_up(self, exchange: Exchange, detail: str) -> None:
+        """End an exchange as unknown."""
+        exchange.put(Refusal(exchange.id, Outcome.UNKNOWN, Reason.PEER_LOST, detail))
 
     def on_closed(self, link: Link) -> None:
-        """End every exchange on a lost link as unknown."""
+        """End every exchange on a lost link as unknown.
+
+        One that may not be repeated is left open: its gate lets it run to its end,
+        which can be recalled.
+        """
         with self._lock:
             lost = [e for e in self._exchange_by_id.values() if e.link is link]
         for exchange in lost:
-            detail = "the link was lost before the whole answer came"
-            exchange.parts.put(
-                Refusal(exchange.id, Outcome.UNKNOWN, Reason.PEER_LOST, detail)
-            )
+            left_to_end = exchange.send is not None and not exchange.send.repeatable
+            if exchange.has_answer or not left_to_end:
+                self.give_up(exchange, LOST_DETAIL)
 
     def wait(self, exchange: Exchange, deadline_s: float, upstream: str) -> Reply:
         """Return the answer, whose chunks wait until `deadline_s` too."""
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -270,9 +270,10 @@
             return
         address = (record.host, record.peer_port)
         self._senders.send(
-            address, send.message, lambda: self._unreachable(send.instance)
+            address, send.message, lambda: self.note_unreachable(send.instance)
         )
 
-    def _unreachable(self, instance: str) -> None:
+    def note_unreachable(self, instance: str) -> None:
+        """Note that the way to an instance, or back from it, is in doubt."""
         with self._changing():
             self._view.on_unreachable(instance)
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 import attrs
+import structlog
 
 from chicorychute.admission.queue import (
     Decision,
@@ -19,6 +20,10 @@
     BodyChunk,
     Cancel,
     Forward,
+    Recall,
+    RecalledAnswer,
+    RecalledRefusal,
+    RecallNoted,
     Refusal,
     Relay,
     Work,
@@ -26,7 +31,15 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.core.workers import WorkerPool
 from chicorychute.pipeline.cancel import CancelScope
-from chicorychute.pipeline.values import Answer, AnswerBroken, Refused, Reply, Request
+from chicorychute.pipeline.values import (
+    Answer,
+    AnswerBroken,
+    Refused,
+    Reply,
+    Request,
+    WholeBody,
+)
+from chicorychute.routing.recall import End, RecallBook, Ruling, SendKey
 from chicorychute.services.bodies import settle
 from chicorychute.services.exchanges import CHUNK_BYTES
 from chicorychute.services.gate import GateService
@@ -36,13 +49,18 @@
 from chicorychute.transport.links import Link, LinkError
 
 RELAY_THREADS = 256
+LOST_DETAIL = "the answer was lost on its way and is no longer kept"
+NEVER_CAME_DETAIL = "the request never came to the gate, and is refused if it does"
 
 Call = Forward | Relay
 
+logger = structlog.get_logger()
+
 
 @attrs.define(eq=False)
 class _Incoming:
     call: Call
+    key: SendKey
     deadline_s: float
     body: bytearray
     started: bool = False
@@ -58,6 +76,8 @@
         Handles a relayed request as if a caller had sent it here.
     table : callable
         Returns the table in force.
+    incarnation : int
+        Of this process, which knows nothing of what an earlier one was sent.
     """
 
     def __init__(
@@ -66,7 +86,10 @@
         clock: Clock,
         handle: Callable[[Request], Reply],
         table: Callable[[], Table | None],
+        incarnation: int = 0,
     ):
+        self._incarnation = incarnation
+        self._book = RecallBook(clock)
         self._gate = gate
         self._clock = clock
         self._handle = handle
@@ -81,8 +104,12 @@
         now_s = self._clock.monotonic()
         delay_s = link.clock.delay_s(call.sent_s, now_s)
         deadline_s = now_s - delay_s + call.work.remaining_ms / 1000
-        incoming = _Incoming(call, deadline_s, bytearray(call.body), not call.more)
+        key = SendKey(link.peer.instance, link.peer.incarnation, call.id)
+        incoming = _Incoming(call, key, deadline_s, bytearray(call.body), not call.more)
         with self._lock:
+            if isinstance(call, Forward) and not self._book.came(key):
+                logger.info("request: revoked before it came", id=call.work.id)
+                return
             self._incoming_by_id[link, call.id] = incoming
         if incoming.started:
             self._start(link, incoming)
@@ -106,8 +133,38 @@
                 return
             if not incoming.started:
                 del self._incoming_by_id[link, cancel.id]
+                never_whole = Refusal(
+                    cancel.id, Outcome.NOT_RUN, Reason.PEER_LOST, NEVER_CAME_DETAIL
+                )
+                self._book.ended(incoming.key, never_whole)
         incoming.scope.cancel()
 
+    def on_recall(self, link: Link, recall: Recall) -> None:
+        """Tell the end of a request, or see to it that it never runs."""
+        key = SendKey(recall.entry, recall.entry_incarnation, recall.id)
+        if recall.gate_incarnation != self._incarnation:
+            ruling, end = Ruling.FORGOTTEN, None
+        else:
+            with self._lock:
+                ruling, end = self._book.recall(key, recall.left_ms / 1000, link)
+        logger.info(
+            "request: recalled here",
+            id=recall.request,
+            entry=recall.entry,
+            ruling=ruling.value,
+        )
+        match ruling:
+            case Ruling.RUNS:
+                _send(link, RecallNoted(key.instance, key.incarnation, key.id))
+                return
+            case Ruling.REVOKED:
+                end = Refusal(
+                    key.id, Outcome.NOT_RUN, Reason.PEER_LOST, NEVER_CAME_DETAIL
+                )
+            case Ruling.FORGOTTEN:
+                end = Refusal(key.id, Outcome.UNKNOWN, Reason.PEER_LOST, LOST_DETAIL)
+        _send(link, _recalled(key, end))
+
     def on_closed(self, link: Link) -> None:
         """Withdraw every request of a lost link."""
         with self._lock:
@@ -171,11 +228,20 @@
         self._relays.submit(run)
 
     def _finish(self, link: Link, incoming: _Incoming, reply: Reply) -> None:
+        settled = settle(reply)
+        end = _end_of(incoming.call.id, settled)
         try:
-            send_reply(link, incoming.call.id, settle(reply))
+            if end is None:
+                _send_long(link, incoming.call.id, settled)
+            else:
+                _send(link, end)
         finally:
             with self._lock:
                 self._incoming_by_id.pop((link, incoming.call.id), None)
+                askers = self._book.ended(incoming.key, end)
+        lost = Refusal(incoming.call.id, Outcome.UNKNOWN, Reason.PEER_LOST, LOST_DETAIL)
+        for asker in askers:
+            _send(asker, _recalled(incoming.key, lost if end is None else end))
 
     def _relay(self, link: Link, incoming: _Incoming) -> None:
         call = incoming.call
@@ -213,15 +279,34 @@
         return
 
 
-def send_reply(link: Link, id: int, reply: Reply) -> None:
-    """Send a whole reply; a lost link ends it, the peer knows it as unknown."""
+def _recalled(key: SendKey, end: End) -> RecalledAnswer | RecalledRefusal:
+    make = RecalledRefusal if isinstance(end, Refusal) else RecalledAnswer
+    return make(key.instance, key.incarnation, end)
+
+
+def _end_of(id: int, reply: Reply) -> End | None:
+    """Return the one message that tells a reply, None if it takes several."""
     if isinstance(reply, Refused):
         wait_ms = reply.retry_s * 1000
-        refusal = Refusal(
+        return Refusal(
             id, reply.outcome, reply.reason, reply.detail, wait_ms, reply.risk
         )
-        _send(link, refusal)
-        return
+    if not isinstance(reply.chunks, WholeBody) or reply.length > CHUNK_BYTES:
+        return None
+    body = b"".join(reply.chunks)
+    return AnswerHead(id, reply.status, reply.headers, reply.length, body, True, 0, 0)
+
+
+def send_reply(link: Link, id: int, reply: Reply) -> None:
+    """Send a whole reply; a lost link ends it, the peer knows it as unknown."""
+    end = _end_of(id, reply)
+    if end is None:
+        _send_long(link, id, reply)
+    else:
+        _send(link, end)
+
+
+def _send_long(link: Link, id: int, reply: Answer) -> None:
     try:
         _send_answer(link, id, reply)
     except LinkError:
--- /dev/null
+++ b/chicorychute/services/recalls.py
@@ -0,0 +1,146 @@
+"""Recalls requests whose link went mute, and passes on the recalls of others."""
+
+import random
+from collections.abc import Callable
+
+import structlog
+
+from chicorychute.core.clock import Clock
+from chicorychute.core.messages import (
+    MemberStatus,
+    Recall,
+    RecalledAnswer,
+    RecalledRefusal,
+    RecallNoted,
+)
+from chicorychute.routing.recall import Step, next_step
+from chicorychute.services.exchanges import LOST_DETAIL, Exchange, Exchanges
+from chicorychute.services.fleet import FleetService
+from chicorychute.services.peers import PeerService
+from chicorychute.services.senders import Senders
+from chicorychute.telemetry.tally import Tally
+from chicorychute.transport.links import Link
+
+Reply = RecallNoted | RecalledAnswer | RecalledRefusal
+
+logger = structlog.get_logger()
+
+
+class RecallService:
+    """Asks for the ends of requests by another way than their own link.
+
+    Parameters
+    ----------
+    peers : callable
+        Returns the service that runs the requests of peers, which is built later.
+    steps : Tally
+        Raised by each step, by its name.
+    """
+
+    def __init__(
+        self,
+        exchanges: Exchanges,
+        fleet: FleetService,
+        senders: Senders,
+        peers: Callable[[], PeerService],
+        clock: Clock,
+        rng: random.Random,
+        steps: Tally,
+    ):
+        self._exchanges = exchanges
+        self._fleet = fleet
+        self._senders = senders
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._steps = steps
+
+    def tick(self) -> None:
+        """Take the next step for every request that waits for an answer."""
+        now_s = self._clock.monotonic()
+        for exchange in self._exchanges.waiting():
+            step = next_step(now_s, exchange.recalls, exchange.link.signs)
+            match step:
+                case Step.WAIT:
+                    continue
+                case Step.PING:
+                    exchange.link.ping(now_s)
+                case Step.RECALL:
+                    self._recall(exchange, now_s)
+                case Step.GIVE_UP:
+                    self._tell_step("request: recalls got no reply", exchange)
+                    self._exchanges.give_up(exchange, LOST_DETAIL)
+            self._steps.add(step.value)
+
+    def on_recall(self, link: Link, recall: Recall) -> None:
+        """Answer a recall of an own request, or pass it on to its gate."""
+        if recall.gate == self._fleet.own().instance:
+            self._peers().on_recall(link, recall)
+        else:
+            self._pass_on(recall.gate, recall)
+
+    def on_reply(self, reply: Reply) -> None:
+        """Take the reply to an own recall, or pass it on to its entry."""
+        own = self._fleet.own()
+        if reply.entry != own.instance:
+            self._pass_on(reply.entry, reply)
+            return
+        if reply.entry_incarnation != own.incarnation:
+            return
+        match reply:
+            case RecallNoted(_, _, id):
+                self._exchanges.on_noted(id)
+            case RecalledAnswer(_, _, end) | RecalledRefusal(_, _, end):
+                self._exchanges.on_recalled(end)
+
+    def _recall(self, exchange: Exchange, now_s: float) -> None:
+        gate = exchange.link.peer
+        if exchange.recalls.unanswered == 0:
+            self._fleet.note_unreachable(gate.instance)
+        exchange.recalls.asked(now_s)
+        own = self._fleet.own()
+        recall = Recall(
+            gate.instance,
+            gate.incarnation,
+            own.instance,
+            own.incarnation,
+            exchange.id,
+            (exchange.send.deadline_s - now_s) * 1000,
+            exchange.send.request,
+        )
+        helper = self._helper(exchange, gate.instance)
+        self._tell_step("request: recalled", exchange, helper=helper)
+        self._pass_on(helper, recall)
+
+    def _helper(self, exchange: Exchange, gate: str) -> str:
+        """Return whom to send a recall to: where a link broke, first the gate."""
+        if exchange.link.signs.lost and exchange.recalls.unanswered <= 1:
+            return gate
+        own = self._fleet.own()
+        helpers = [
+            record.instance
+            for record, status in self._fleet.snapshot()
+            if status is MemberStatus.ALIVE
+            and record.region == own.region
+            and record.instance not in (own.instance, gate)
+        ]
+        return self._rng.choice(helpers) if helpers else gate
+
+    def _pass_on(self, instance: str, message: Recall | Reply) -> None:
+        record = self._fleet.record_of(instance)
+        if record is None:
+            logger.warning("fleet: a recall names an unknown instance", peer=instance)
+            return
+        self._senders.send((record.host, record.peer_port), message)
+
+    def _tell_step(self, event: str, exchange: Exchange, **fields: str) -> None:
+        signs = exchange.link.signs
+        logger.warning(
+            event,
+            id=exchange.send.request,
+            gate=exchange.link.peer.instance,
+            link_lost=signs.lost,
+            silent_ms=round((self._clock.monotonic() - signs.heard_s) * 1000, 1),
+            unanswered=exchange.recalls.unanswered,
+            **fields,
+        )
--- a/chicorychute/telemetry/instruments.py
+++ b/chicorychute/telemetry/instruments.py
@@ -57,6 +57,7 @@
         self.edge_refusals = Tally()
         self.link_faults = Tally()
         self.link_bytes = Tally()
+        self.recall_steps = Tally()
         self.table = TableAge(clock)
         self.verdicts = VerdictWatch()
         self._publish_tallies()
@@ -99,6 +100,12 @@
             ("direction", "message"),
             self.link_bytes,
         )
+        metrics.count(
+            "chute_recall_steps",
+            "Steps taken for requests whose gate was silent.",
+            ("step",),
+            self.recall_steps,
+        )
         metrics.count(
             "chute_verdict_changes",
             "Changes of the verdict on an upstream; 'sick' is an ejection.",
--- a/tests/services/interleaved.py
+++ b/tests/services/interleaved.py
@@ -4,6 +4,7 @@
 at a time, and only while the test resumes it, so a list of steps is one schedule.
 """
 
+import contextlib
 import itertools
 import queue
 import random
@@ -22,16 +23,23 @@
     MemberRecord,
     MemberStatus,
     QuarantineNotice,
+    Recall,
+    RecalledAnswer,
+    RecalledRefusal,
+    RecallNoted,
     Relay,
 )
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.pipeline.values import AnswerBroken, Refused, Request
 from chicorychute.routing.candidates import Candidate, Distance
+from chicorychute.routing.recall import LinkSigns
 from chicorychute.services.entry import EntryService
 from chicorychute.services.exchanges import Exchanges
 from chicorychute.services.gate import GateService
 from chicorychute.services.peers import PeerService
+from chicorychute.services.recalls import RecallService
 from chicorychute.table.parse import parse_table
+from chicorychute.telemetry.tally import Tally
 from chicorychute.telemetry.tracing import PassThroughTracing
 from chicorychute.transport import calls
 from chicorychute.transport.link import LinkClock
@@ -50,6 +58,8 @@
 ENDINGS_ROUNDS = 16  # longer than any deadline
 ROUND_S = 0.1
 
+PING, PONG = "ping", "pong"  # of the websockets protocol
+
 _own = threading.local()
 
 
@@ -131,6 +141,8 @@
 
     def __init__(self, receiver):
         self.receiver = receiver
+        self.peer = SimpleNamespace(instance=receiver.name, incarnation=1)
+        self.signs = LinkSigns(receiver.world.clock.monotonic())
         self.other = None
         self.clock = LinkClock()
         self.windows = AnswerWindows()
@@ -142,6 +154,11 @@
             raise LinkError("closed", "choose another peer")
         self.sent.append(message)
 
+    def ping(self, now_s):
+        self.signs.pinged_s = now_s
+        if not self.closed:
+            self.sent.append(PING)
+
 
 @attrs.define(eq=False)
 class Send:
@@ -227,7 +244,16 @@
         self.entry = EntryService(
             self.gate, self, self.exchanges, lambda: self, clock, random.Random(2)
         )
-        self.peers = PeerService(self.gate, clock, self._handle, lambda: TABLE)
+        self.peers = PeerService(self.gate, clock, self._handle, lambda: TABLE, 1)
+        self.recalls = RecallService(
+            self.exchanges,
+            self,
+            self,
+            lambda: self.peers,
+            clock,
+            random.Random(3),
+            Tally(),
+        )
         self.peers._relays = Pool(self)
         self.peers.apply(TABLE)
 
@@ -238,6 +264,19 @@
         alive = MemberStatus.ALIVE
         return MemberRecord(instance, 1, 1, alive, instance, 1, "z", "r", 1, ())
 
+    def snapshot(self):
+        return [
+            (self.record_of(name), MemberStatus.ALIVE)
+            for name in self.world.daemon_by_name
+        ]
+
+    def note_unreachable(self, instance):
+        pass
+
+    def send(self, address, message):
+        with contextlib.suppress(LinkError):
+            self.link_to(address).send(message)
+
     def hosts(self, service):
         return [self.record_of(name) for name in HOSTS]
 
@@ -266,7 +305,17 @@
         return self.entry.handle(request)
 
     def take(self, end, message):
+        end.signs.heard_s = self.world.clock.monotonic()
         match message:
+            case "ping":
+                with contextlib.suppress(LinkError):
+                    end.send(PONG)
+            case "pong":
+                pass
+            case Recall():
+                self.recalls.on_recall(end, message)
+            case RecallNoted() | RecalledAnswer() | RecalledRefusal():
+                self.recalls.on_reply(message)
             case Forward() | Relay():
                 self.peers.on_call(end, message)
             case Cancel():
@@ -278,7 +327,7 @@
                 self.exchanges.on_part(end, message)
 
     def closed(self, end):
-        end.closed = True
+        end.closed = end.signs.lost = True
         end.windows.close()
         self.exchanges.on_closed(end)
         self.peers.on_closed(end)
@@ -413,6 +462,11 @@
         if not daemon.frozen:
             daemon.gate.tick()
 
+    def recall(self, number):
+        daemon = self.daemon("xab"[number % 3])
+        if not daemon.frozen:
+            daemon.recalls.tick()
+
     def advance(self, number):
         self.clock.advance(number * 0.01)
 
@@ -448,6 +502,8 @@
             self.clock.advance(ROUND_S)
             self.tick(0)
             self.tick(1)
+            for number in range(len(self.daemon_by_name)):
+                self.recall(number)
 
     def _settle(self):
         while self.stage.ready() or any(e.sent for e in self._end_by_pair.values()):
--- a/tests/services/test_outcomes.py
+++ b/tests/services/test_outcomes.py
@@ -28,6 +28,8 @@
     "advance",
     "cut",
     "freeze",
+    "recall",
+    "recall",
 )
 COMMON = ("place_lookup", "place_order", "flow", "flow", "connect", "connect")
 STEPS = st.lists(
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -4,7 +4,13 @@
 
 from chicorychute.admission.queue import Granted, Ticket
 from chicorychute.core.clock import ManualClock
-from chicorychute.core.messages import Cancel, Forward, Work
+from chicorychute.core.messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Forward,
+    Hello,
+    Work,
+)
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.pipeline.values import Refused
 from chicorychute.services.peers import PeerService
@@ -36,6 +42,8 @@
 
 
 class FakeLink:
+    peer = Hello(PROTOCOL_VERSION, "entry", 1, "z", "r")
+
     def __init__(self):
         self.clock = LinkClock()
 
