Answer what still waits at the drain limit, and refuse at once what can't end before

Requests that came a second after SIGTERM waited at gates longer than the drain lasts; at its limit the process ended, and the connections closed with no answer.

Ruled out: a longer drain; the process is killed 0.5 s later.

Change: a request that comes after the signal has the drain limit as its deadline, so that a gate refuses it at once where it would wait longer and its caller can go elsewhere. What waits at the limit is withdrawn, and 0.3 s are left for its refusals.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -290,6 +290,7 @@
                 self._seats.filter,
                 self._leaving.refuse,
                 filters.deadline(clock),
+                self._leaving.limit,
                 self._home.filter,
             ],
             entry.handle,
--- a/chicorychute/pipeline/cancel.py
+++ b/chicorychute/pipeline/cancel.py
@@ -9,12 +9,19 @@
 
 
 class CancelScope:
-    """Carries a caller's cancellation to whatever the request waits for."""
+    """Carries a cancellation to whatever the request waits for.
+
+    Attributes
+    ----------
+    caller_left : bool
+        Whether it was the caller who cancelled.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._stop: Callable[[], None] = _nothing
         self.cancelled = False
+        self.caller_left = False
 
     def bind(self, stop: Callable[[], None]) -> None:
         """Set what a cancellation must stop from now on."""
@@ -24,9 +31,10 @@
         if cancelled:
             stop()
 
-    def cancel(self) -> None:
+    def cancel(self, caller_left: bool = True) -> None:
         """Stop the request; further attempts end at once."""
         with self._lock:
             self.cancelled = True
+            self.caller_left |= caller_left
             stop = self._stop
         stop()
--- a/chicorychute/pipeline/leaving.py
+++ b/chicorychute/pipeline/leaving.py
@@ -31,19 +31,25 @@
     While it leaves it serves as before, but gives no home to new orders. Once it
     closes it refuses as not run whatever is new, except orders that already name
     their home: only their home can tell whether they ran.
+
+    Attributes
+    ----------
+    ends_s : float, optional
+        When the daemon stops answering; what is new must end before it.
     """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._lock = threading.Lock()
-        self._in_flight = 0
+        self._request_by_id: dict[int, Request] = {}
         self._last_s = clock.monotonic()
+        self.ends_s: float | None = None
         self.stage = Stage.SERVING
 
     @property
     def in_flight(self) -> int:
         """Requests whose answer is not at its end."""
-        return self._in_flight
+        return len(self._request_by_id)
 
     def serving(self) -> bool:
         """Return whether the daemon stays."""
@@ -51,7 +57,7 @@
 
     def quiet_s(self) -> float:
         """Return the seconds since a request came or ended, 0 with one in flight."""
-        if self._in_flight:
+        if self._request_by_id:
             return 0.0
         return self._clock.monotonic() - self._last_s
 
@@ -59,22 +65,43 @@
         """Count a request until the last byte of its answer was taken."""
 
         def run(request: Request) -> Reply:
-            self._step(1)
+            self._began(request)
             try:
                 reply = handler(request)
             except BaseException:
-                self._step(-1)
+                self._ended(request)
                 raise
             if not isinstance(reply, Answer):
-                self._step(-1)
+                self._ended(request)
                 return reply
-            body = _CountedBody(reply.chunks, lambda: self._step(-1))
+            body = _CountedBody(reply.chunks, lambda: self._ended(request))
             return Answer(
                 reply.status, reply.headers, reply.length, body, reply.upstream
             )
 
         return run
 
+    def limit(self, handler: Handler) -> Handler:
+        """Have a request that comes while the daemon leaves end before it stops.
+
+        Its gate then refuses it at once where it would wait longer, and its caller
+        can go to another daemon.
+        """
+
+        def run(request: Request) -> Reply:
+            if self.ends_s is not None:
+                request.deadline_s = min(request.deadline_s, self.ends_s)
+            return handler(request)
+
+        return run
+
+    def withdraw(self) -> None:
+        """Withdraw every request that still waits, so that it is answered."""
+        with self._lock:
+            requests = list(self._request_by_id.values())
+        for request in requests:
+            request.scope.cancel(caller_left=False)
+
     def refuse(self, handler: Handler) -> Handler:
         """Refuse what a leaving daemon must not begin."""
 
@@ -95,9 +122,14 @@
             case Stage.CLOSING:
                 return not names_home
 
-    def _step(self, change: int) -> None:
+    def _began(self, request: Request) -> None:
+        with self._lock:
+            self._request_by_id[id(request)] = request
+            self._last_s = self._clock.monotonic()
+
+    def _ended(self, request: Request) -> None:
         with self._lock:
-            self._in_flight += change
+            self._request_by_id.pop(id(request), None)
             self._last_s = self._clock.monotonic()
 
 
--- a/chicorychute/pipeline/life.py
+++ b/chicorychute/pipeline/life.py
@@ -38,7 +38,7 @@
         "stopped_by": request.stopped_by,
         "tries": [_shown(made) for made in request.tries],
     }
-    if request.scope.cancelled:
+    if request.scope.caller_left:
         fields["caller_left"] = True
     if isinstance(reply, Answer):
         tell = logger.warning if reply.status >= SERVER_ERROR else logger.info
--- a/chicorychute/services/drain.py
+++ b/chicorychute/services/drain.py
@@ -1,6 +1,7 @@
 """Takes a daemon out of service without cutting a request."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import structlog
@@ -17,6 +18,7 @@
 SETTLE_S = 1.0  # peers hear of it and callers see their connections closed
 QUIET_S = 0.5
 POLL_S = 0.05
+LAST_ANSWERS_S = 0.3  # a turn to the farthest gate, and the answer to the caller
 
 logger = structlog.get_logger()
 
@@ -78,14 +80,25 @@
             Whether no request was cut.
         """
         end_s = self._clock.monotonic() + self._limit_s
+        self._leaving.ends_s = end_s
         self.leave()
         self._cut.wait(min(self._settle_s, self._limit_s))
         self._leaving.stage = Stage.CLOSING
         while not self._empty() and self._clock.monotonic() < end_s:
             if self._cut.wait(POLL_S):
                 break
+        self._answer_the_rest()
         return self._report()
 
+    def _answer_the_rest(self) -> None:
+        """Withdraw what still waits, and let its refusals go out."""
+        if not self._leaving.in_flight:
+            return
+        self._leaving.withdraw()
+        end_s = self._clock.monotonic() + LAST_ANSWERS_S
+        while self._leaving.in_flight and self._clock.monotonic() < end_s:
+            time.sleep(POLL_S / 5)
+
     def on_forward(self, link: Link, call: Forward) -> bool:
         """Refuse a peer's request if the gate is closing; returns whether it did."""
         if self._leaving.stage is not Stage.CLOSING:
--- a/tests/pipeline/test_leaving.py
+++ b/tests/pipeline/test_leaving.py
@@ -93,3 +93,37 @@
     reply.chunks.close()
     clock.advance(2)
     assert leaving.quiet_s() == 2
+
+
+def test_what_comes_while_the_daemon_leaves_must_end_before_it_stops():
+    leaving = Leaving(ManualClock())
+    request = request_of("catalogue")
+    request.deadline_s = 12.0
+    handle = leaving.limit(lambda request: SERVED)
+    handle(request)
+    assert request.deadline_s == 12.0
+    leaving.ends_s = 5.0
+    handle(request)
+    assert request.deadline_s == 5.0
+    request.deadline_s = 1.0
+    handle(request)
+    assert request.deadline_s == 1.0
+
+
+def test_what_waits_at_the_end_is_withdrawn_and_what_has_ended_is_not():
+    leaving = Leaving(ManualClock())
+    waiting, ended = request_of("catalogue"), request_of("catalogue")
+    withdrawn = []
+
+    def wait(request):
+        request.scope.bind(lambda: withdrawn.append(request))
+        leaving.withdraw()
+        return Refused(Outcome.NOT_RUN, Reason.CANCELLED)
+
+    leaving.count(lambda request: SERVED)(ended)
+    leaving.count(wait)(waiting)
+    assert withdrawn == [waiting]
+    assert waiting.scope.cancelled
+    assert not waiting.scope.caller_left
+    assert not ended.scope.cancelled
+    assert leaving.in_flight == 0
