Serve a rank that leaves the table instead of refusing it as without a route

Ranks are named after the cells of their routes.

Ruled out: routes that were dropped (the path stood in every version), an entry without a table (its line names version 8).

Change: a rank that a table drops is served by its last policy, without a guarantee, until the next table and for as long as its requests are here. A rank that a gate does not know yet is served as the least urgent of its service. Only a service without any rank refuses, as no-upstream. 404 comes from the entry's own look-up alone.

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -133,17 +133,27 @@
         return held_s / taken / (self.in_flight + 1) if taken else 0.0
 
     def configure(self, slots: int, policies: Iterable[RankPolicy]) -> None:
-        """Take the cells of a new table; `advance` refuses ranks that are gone."""
+        """Take the cells of a new table.
+
+        What waits in a rank that is gone keeps its place; where the table has no rank
+        of the service any more, `advance` refuses it.
+        """
         self.slots = self.limit = slots
         self._order.configure(policies)
-        for rank in self._order.by_rank:
-            self._waiting_by_rank.setdefault(rank, OrderedDict())
+        by_rank = self._order.by_rank
+        self._waiting_by_rank = {
+            rank: self._waiting_by_rank.get(rank, OrderedDict()) for rank in by_rank
+        }
+
+    def resolve(self, rank: str) -> str:
+        """Return the rank that a request is served by."""
+        return self._order.resolve(rank)
 
     def submit(self, ticket: Ticket) -> Decision:
         """Grant a slot, queue the request or refuse it."""
         now_s = self._clock.monotonic()
-        if ticket.rank not in self._order.by_rank:
-            return Refused(ticket, Reason.NO_ROUTE)
+        if ticket.rank not in self._order.by_rank or not self._order.current:
+            return Refused(ticket, Reason.NO_UPSTREAM)
         self._order.arrived(ticket.rank, now_s, self.limit)
         if now_s >= ticket.deadline_s:
             return Refused(ticket, Reason.DEADLINE)
@@ -194,7 +204,9 @@
     def advance(self) -> list[Decision]:
         """Drop requests past their deadline and fill free slots by rank."""
         now_s = self._clock.monotonic()
-        decisions: list[Decision] = self._drop_unknown_ranks()
+        decisions: list[Decision] = []
+        if not self._order.current:
+            decisions += self.evict(Reason.NO_UPSTREAM)
         decisions += self._expire(now_s)
         self._order.refresh(now_s, self.limit)
         while self.in_flight < self.limit and self._alone is None:
@@ -282,14 +294,3 @@
                 self._remove(ticket)
                 expired.append(Refused(ticket, Reason.DEADLINE))
         return expired
-
-    def _drop_unknown_ranks(self) -> list[Decision]:
-        gone = self._waiting_by_rank.keys() - self._order.by_rank.keys()
-        dropped: list[Decision] = []
-        for rank in sorted(gone):
-            tickets = list(self._waiting_by_rank[rank])
-            for ticket in tickets:
-                self._remove(ticket)
-                dropped.append(Refused(ticket, Reason.NO_ROUTE))
-            del self._waiting_by_rank[rank]
-        return dropped
--- a/chicorychute/admission/ranks.py
+++ b/chicorychute/admission/ranks.py
@@ -41,9 +41,16 @@
 
 @attrs.define(eq=False)
 class RankState:
-    """Load and credit of one rank."""
+    """Load and credit of one rank.
+
+    Attributes
+    ----------
+    retired : bool
+        Whether the newest table lacks the rank.
+    """
 
     policy: RankPolicy
+    retired: bool = False
     share: float = 0.0
     credit_s: float = 0.0
     demand: float = 0.0
@@ -80,16 +87,43 @@
         self.configure(policies)
 
     def configure(self, policies: Iterable[RankPolicy]) -> None:
-        """Take new policies; ranks that stay keep what was measured."""
+        """Take new policies; ranks that stay keep what was measured.
+
+        A rank that the table no longer has is served by its last policy, without a
+        guarantee, until the next table and for as long as its requests are here:
+        entries learn of a table at other moments than gates.
+        """
         known = self.by_rank
         self.by_rank = {}
         for policy in sorted(policies, key=lambda policy: policy.priority):
             state = known.get(policy.rank) or RankState(policy)
             state.policy = policy
+            state.retired = False
             self.by_rank[policy.rank] = state
         total = sum(state.policy.share for state in self.by_rank.values())
         for state in self.by_rank.values():
             state.share = state.policy.share / max(total, 1.0)
+        for rank, state in known.items():
+            in_use = state.waiting or state.running or not state.retired
+            if rank not in self.by_rank and in_use:
+                state.retired = True
+                state.share = 0.0
+                self.by_rank[rank] = state
+
+    @property
+    def current(self) -> list[RankState]:
+        """Ranks of the newest table, the most urgent first."""
+        return [state for state in self.by_rank.values() if not state.retired]
+
+    def resolve(self, rank: str) -> str:
+        """Return the rank to serve a request by, the least urgent for an unknown one.
+
+        The entry may have a newer table than the gate.
+        """
+        current = self.current
+        if rank in self.by_rank or not current:
+            return rank
+        return current[-1].policy.rank
 
     def arrived(self, rank: str, now_s: float, slots: int) -> None:
         """Count an arrival, whether or not it will be admitted."""
--- a/chicorychute/services/slots.py
+++ b/chicorychute/services/slots.py
@@ -115,6 +115,7 @@
     ) -> Ticket:
         """Return the ticket of a request, alone if it is suspected of a crash."""
         alone = self._quarantine.rule(fingerprint) is Ruling.ALONE
+        rank = self._queue.resolve(rank)
         return Ticket(rank, deadline_s, team, alone, fingerprint, may_wait)
 
     def wait_s(self, rank: str) -> float:
