--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -6,6 +6,8 @@
 in turn, best guess first, each of which takes the request only if a slot is free;
 a refusal costs a turn of the link and tells the wait. Only then the request joins a
 queue: the shortest told one, or a gate beyond the region if none keeps the target.
+Where nearly all are busy, a further question costs more than the slot that it seldom
+finds, so that few gates are asked even in a large region.
 """
 
 import math
@@ -19,6 +21,7 @@
 from chicorychute.routing.candidates import Candidate, Distance
 from chicorychute.routing.choice import Choice, NoChoice, choose, predict_ms
 
+NEAR_ASKED = 5  # gates of the region; finds a slot of 4 for half at a load of 0.96
 FAR_ASKED = 2  # gates beyond the region that are asked, at a turn of 60 ms each
 
 
@@ -65,6 +68,7 @@
         self._rng = rng
         self._told_by_upstream: dict[str, Told] = {}
         self._closed: set[str] = set()
+        self._near_asked = 0
         self._far_asked = 0
 
     def next(
@@ -76,9 +80,11 @@
         near = [c for c in unasked if c.distance < Distance.BEYOND]
         far = [c for c in unasked if c.distance == Distance.BEYOND and beyond_allowed]
         alone = len(open_) == 1
-        nearest = self._choose(near, remaining_ms)
-        if nearest is not None:
-            return Placed(nearest, may_wait=alone)
+        if self._near_asked < NEAR_ASKED:
+            nearest = self._choose(near, remaining_ms)
+            if nearest is not None:
+                self._near_asked += 1
+                return Placed(nearest, may_wait=alone)
         shortest = self._shortest(open_, remaining_ms)
         if shortest is not None and shortest.cost_ms <= self._target_ms:
             return Placed(shortest, may_wait=True)
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -8,7 +8,7 @@
 from chicorychute.core.outcomes import Reason
 from chicorychute.routing.candidates import Candidate, Distance
 from chicorychute.routing.choice import NoChoice
-from chicorychute.routing.placement import FAR_ASKED, Placement, Told
+from chicorychute.routing.placement import FAR_ASKED, NEAR_ASKED, Placement, Told
 
 TARGET_MS = 1000.0
 RISK_MS = 2000.0
@@ -60,6 +60,15 @@
         assert sends[-1] == (free, False)
 
 
+def test_few_gates_of_a_large_region_are_asked():
+    many = [gate(f"near-{number}") for number in range(30)]
+    told = {c.instance: Told(500.0 + i, 0.02) for i, c in enumerate(many)}
+    sends, _ = placed(many, told)
+    assert len(sends) == NEAR_ASKED + 1
+    asked = [name for name, _ in sends[:-1]]
+    assert sends[-1] == (min(asked, key=lambda name: told[name].wait_ms), True)
+
+
 def test_gate_beyond_the_region_is_asked_once_the_target_is_out_of_reach():
     late = Told(2000.0, 0.02)
     sends, _ = placed(NEAR + FAR, {"a": late, "b": late, "c": late})
