--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -322,6 +322,7 @@
             if more:
                 send_body_rest(link, exchange.id, body)
         except LinkError as error:
+            # A part may have been sent: what must not run twice is recalled instead.
             if repeatable or not recallable:
                 self._exchanges.close(exchange)
                 return Refused(Outcome.UNKNOWN, Reason.PEER_LOST, str(error))
