Act on a signal whatever thread the system gave it to

The system may give a signal to any thread. The interpreter then notes it and runs the handler on the main thread, which waits on a lock without a limit and is not woken: the signal is lost until another one comes. The same fits the daemon that once never left, and some of the processes that were killed at the end of the grace time.

Ruled out: a lock held by the handler (it only put into a queue), the drain (its first line was never written), the cut way (the leaver's own log shows it).

Change: the interpreter writes the signal's number to a pipe from whatever thread got it (`signal.set_wakeup_fd`), and the thread that acts on signals reads the pipe.

--- a/chicorychute/services/stopping.py
+++ b/chicorychute/services/stopping.py
@@ -1,6 +1,6 @@
 """Signals that ask the daemon to stop, or to read its settings again."""
 
-import queue
+import os
 import signal
 import threading
 from collections.abc import Callable
@@ -13,12 +13,18 @@
     """Do nothing with a signal."""
 
 
+def _leave_to_the_thread(number: int, frame: FrameType | None) -> None:
+    """Do nothing: the interpreter has written the number to the pipe already."""
+
+
 class StopSignals:
     """Passes each signal to a thread of its own.
 
-    A signal handler interrupts the main thread wherever it is, also while it holds
-    the lock of an event that it waits on. So the handler only puts the signal into a
-    queue whose `put` is reentrant, and another thread acts on it.
+    A handler in Python runs on the main thread alone. It may interrupt that thread
+    while it holds the lock of an event that it waits on, and it never runs where the
+    system gave the signal to another thread, as nothing then wakes the main one. So
+    the interpreter writes the number to a pipe from whatever thread got the signal,
+    and one thread reads it.
 
     Parameters
     ----------
@@ -35,7 +41,8 @@
     ):
         self._on_signal = on_signal
         self._on_reload = on_reload
-        self._numbers: queue.SimpleQueue[int] = queue.SimpleQueue()
+        self._reads, self._writes = os.pipe()
+        os.set_blocking(self._writes, False)
         self._thread = threading.Thread(
             target=self._deliver, name="signals", daemon=True
         )
@@ -43,18 +50,19 @@
     def listen(self) -> None:
         """Start the thread and install the handlers; call from the main thread."""
         self.start()
+        signal.set_wakeup_fd(self._writes)
         for number in (*STOP_SIGNALS, signal.SIGHUP):
-            signal.signal(number, self.handle)
+            signal.signal(number, _leave_to_the_thread)
 
     def start(self) -> None:
         """Start the thread that acts on signals."""
         self._thread.start()
 
-    def handle(self, number: int, frame: FrameType | None) -> None:
-        """Note a signal; may run at any point of the main thread."""
-        self._numbers.put(number)
+    def note(self, number: int) -> None:
+        """Note a signal, as the interpreter does."""
+        os.write(self._writes, bytes([number]))
 
     def _deliver(self) -> None:
-        while True:
-            reloads = self._numbers.get() == signal.SIGHUP
+        while numbers := os.read(self._reads, 1):
+            reloads = numbers[0] == signal.SIGHUP
             (self._on_reload if reloads else self._on_signal)()
