Send replies through one function, and shorten a beat's digests once a round

Cause, found by reading the whole change again: the end of a peer's request wrote `send_reply` a second time, so that its tests ran a function that nothing else called. The digests of a beat were shortened and stripped for each peer, not once a round, in work that grows with the region. Two refusals of recalls were built twice, `give_up` took a text that is always the same, and the HTTP port stood beside the standard library's.

Ruled out as the same logic: the shape pairs between attrs classes.

Change: `send_reply` returns the one message that told the reply and is what `_finish` calls; `NearbyView` prepares a round's record and load once; `_never_came` and `_not_kept` make the refusals; `http.client.HTTP_PORT` is used. No message, bound or text changes, and no test was touched.

--- a/chicorychute/conf/together.py
+++ b/chicorychute/conf/together.py
@@ -1,6 +1,7 @@
 """Checks of settings that only hold together."""
 
 from collections.abc import Callable, Sequence
+from http.client import HTTP_PORT
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -10,7 +11,6 @@
 from chicorychute.conf.exceptions import SettingFault
 
 LISTENERS = ("edge", "peer", "operator")
-HTTP_PORT = 80
 
 Values = dict[tuple[str, str], Any]
 
--- a/chicorychute/membership/nearby.py
+++ b/chicorychute/membership/nearby.py
@@ -132,8 +132,12 @@
         self._note_sent()
         self._rounds += 1
         whole = self._rounds % WHOLE_ROUNDS == 0
+        told = self._told()
+        load = tuple(attrs.evolve(digest, ranks=()) for digest in told.upstreams)
         return tuple(
-            Send(instance, self._beat_for(peer, whole))
+            Send(instance, _beat(told, peer))
+            if whole or not self._knows_the_rest(peer)
+            else Send(instance, Pulse(told.heartbeat, peer.record.heartbeat, load))
             for instance, peer in self._peer_by_id.items()
             if peer.record.region == self._own.region
         )
@@ -144,21 +148,22 @@
         if peer is None:
             return ()
         self._note_sent()
-        return (Send(instance, self._beat_for(peer, whole=True)),)
+        return (Send(instance, _beat(self._told(), peer)),)
 
     def _note_sent(self) -> None:
         self._sent_s_by_beat[self._own.heartbeat] = self._clock.monotonic()
         while len(self._sent_s_by_beat) > BEATS_KEPT:
             self._sent_s_by_beat.popitem(last=False)
 
-    def _beat_for(self, peer: Peer, whole: bool) -> Beat | Pulse:
-        own = self._own
-        digests = tuple(map(shorten, own.upstreams))
-        if not whole and peer.echoed >= self._changed_at > 0:
-            short = tuple(attrs.evolve(digest, ranks=()) for digest in digests)
-            return Pulse(own.heartbeat, peer.record.heartbeat, short)
-        told = attrs.evolve(own, upstreams=digests)
-        return Beat(told, peer.record.heartbeat, peer.record.incarnation)
+    def _told(self) -> MemberRecord:
+        """Return the own record with short numbers."""
+        return attrs.evolve(
+            self._own, upstreams=tuple(map(shorten, self._own.upstreams))
+        )
+
+    def _knows_the_rest(self, peer: Peer) -> bool:
+        """Return whether a peer has echoed all that a short beat leaves out."""
+        return peer.echoed >= self._changed_at > 0
 
     def on_beat(self, beat: Beat) -> bool:
         """Take a peer's beat; returns whether its sender asks for one at once."""
@@ -293,6 +298,10 @@
             peer.lost_s = self._clock.monotonic()
 
 
+def _beat(told: MemberRecord, peer: Peer) -> Beat:
+    return Beat(told, peer.record.heartbeat, peer.record.incarnation)
+
+
 def _lasting(record: MemberRecord) -> tuple[object, ...]:
     """Return what a short beat leaves out."""
     upstreams = tuple((d.upstream, d.service) for d in record.upstreams)
--- a/chicorychute/services/exchanges.py
+++ b/chicorychute/services/exchanges.py
@@ -139,9 +139,11 @@
             end = attrs.evolve(end, reason=Reason.PEER_LOST)
         exchange.put(end)
 
-    def give_up(self, exchange: Exchange, detail: str) -> None:
+    def give_up(self, exchange: Exchange) -> None:
         """End an exchange as unknown."""
-        exchange.put(Refusal(exchange.id, Outcome.UNKNOWN, Reason.PEER_LOST, detail))
+        exchange.put(
+            Refusal(exchange.id, Outcome.UNKNOWN, Reason.PEER_LOST, LOST_DETAIL)
+        )
 
     def on_closed(self, link: Link) -> None:
         """End every exchange on a lost link as unknown.
@@ -154,7 +156,7 @@
         for exchange in lost:
             left_to_end = exchange.send is not None and not exchange.send.repeatable
             if exchange.has_answer or not left_to_end:
-                self.give_up(exchange, LOST_DETAIL)
+                self.give_up(exchange)
 
     def wait(self, exchange: Exchange, deadline_s: float, upstream: str) -> Reply:
         """Return the answer, whose chunks wait until `deadline_s` too."""
--- a/chicorychute/services/peers.py
+++ b/chicorychute/services/peers.py
@@ -49,7 +49,7 @@
 from chicorychute.transport.links import Link, LinkError
 
 RELAY_THREADS = 256
-LOST_DETAIL = "the answer was lost on its way and is no longer kept"
+NOT_KEPT_DETAIL = "the answer was lost on its way and is no longer kept"
 NEVER_CAME_DETAIL = "the request never came to the gate, and is refused if it does"
 
 Call = Forward | Relay
@@ -133,10 +133,7 @@
                 return
             if not incoming.started:
                 del self._incoming_by_id[link, cancel.id]
-                never_whole = Refusal(
-                    cancel.id, Outcome.NOT_RUN, Reason.PEER_LOST, NEVER_CAME_DETAIL
-                )
-                self._book.ended(incoming.key, never_whole)
+                self._book.ended(incoming.key, _never_came(cancel.id))
         incoming.scope.cancel()
 
     def on_recall(self, link: Link, recall: Recall) -> None:
@@ -158,11 +155,9 @@
                 _send(link, RecallNoted(key.instance, key.incarnation, key.id))
                 return
             case Ruling.REVOKED:
-                end = Refusal(
-                    key.id, Outcome.NOT_RUN, Reason.PEER_LOST, NEVER_CAME_DETAIL
-                )
+                end = _never_came(key.id)
             case Ruling.FORGOTTEN:
-                end = Refusal(key.id, Outcome.UNKNOWN, Reason.PEER_LOST, LOST_DETAIL)
+                end = _not_kept(key.id)
         _send(link, _recalled(key, end))
 
     def on_closed(self, link: Link) -> None:
@@ -231,20 +226,14 @@
         id = incoming.call.id
         end = None
         try:
-            settled = settle(reply)
-            end = _end_of(id, settled)
-            if end is None:
-                _send_long(link, id, settled)
-            else:
-                _send(link, end)
+            end = send_reply(link, id, settle(reply))
         finally:
             with self._lock:
                 self._incoming_by_id.pop((link, id), None)
                 askers = self._book.ended(incoming.key, end)
-        if end is None:
-            end = Refusal(id, Outcome.UNKNOWN, Reason.PEER_LOST, LOST_DETAIL)
+        told = _not_kept(id) if end is None else end
         for asker in askers:
-            _send(asker, _recalled(incoming.key, end))
+            _send(asker, _recalled(incoming.key, told))
 
     def _relay(self, link: Link, incoming: _Incoming) -> None:
         call = incoming.call
@@ -282,6 +271,14 @@
         return
 
 
+def _never_came(id: int) -> Refusal:
+    return Refusal(id, Outcome.NOT_RUN, Reason.PEER_LOST, NEVER_CAME_DETAIL)
+
+
+def _not_kept(id: int) -> Refusal:
+    return Refusal(id, Outcome.UNKNOWN, Reason.PEER_LOST, NOT_KEPT_DETAIL)
+
+
 def _recalled(key: SendKey, end: End) -> RecalledAnswer | RecalledRefusal:
     make = RecalledRefusal if isinstance(end, Refusal) else RecalledAnswer
     return make(key.instance, key.incarnation, end)
@@ -300,22 +297,25 @@
     return AnswerHead(id, reply.status, reply.headers, reply.length, body, True, 0, 0)
 
 
-def send_reply(link: Link, id: int, reply: Reply) -> None:
-    """Send a whole reply; a lost link ends it, the peer knows it as unknown."""
+def send_reply(link: Link, id: int, reply: Reply) -> End | None:
+    """Send a whole reply; a lost link ends it, the peer knows it as unknown.
+
+    Returns
+    -------
+    AnswerHead, Refusal or None
+        The one message that told it, None where it took several.
+    """
     end = _end_of(id, reply)
-    if end is None:
-        _send_long(link, id, reply)
-    else:
+    if end is not None:
         _send(link, end)
-
-
-def _send_long(link: Link, id: int, reply: Answer) -> None:
+        return end
     try:
         _send_answer(link, id, reply)
     except LinkError:
         reply.chunks.close()
     except AnswerBroken as error:
         _send(link, Refusal(id, Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error)))
+    return None
 
 
 def _send_answer(link: Link, id: int, reply: Answer) -> None:
--- a/chicorychute/services/places.py
+++ b/chicorychute/services/places.py
@@ -2,12 +2,11 @@
 
 import enum
 from collections.abc import Iterable
+from http.client import HTTP_PORT
 from urllib.parse import urlsplit
 
 from chicorychute.sources.base import ListedUpstream
 
-HTTP_PORT = 80
-
 
 class PlaceChange(enum.Enum):
     """What a list changed at an address."""
--- a/chicorychute/services/recalls.py
+++ b/chicorychute/services/recalls.py
@@ -14,7 +14,7 @@
     RecallNoted,
 )
 from chicorychute.routing.recall import Step, next_step
-from chicorychute.services.exchanges import LOST_DETAIL, Exchange, Exchanges
+from chicorychute.services.exchanges import Exchange, Exchanges
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.peers import PeerService
 from chicorychute.services.senders import Senders
@@ -69,7 +69,7 @@
                     self._recall(exchange, now_s)
                 case Step.GIVE_UP:
                     self._tell_step("request: recalls got no reply", exchange)
-                    self._exchanges.give_up(exchange, LOST_DETAIL)
+                    self._exchanges.give_up(exchange)
             self._steps.add(step.value)
 
     def on_recall(self, link: Link, recall: Recall) -> None:
