Exchange heartbeats with a bounded number of neighbours in a region

Cause: every daemon sent its record to every peer of its region twice a second.

The rest of the region is known from the platform's list, as other regions are; a request turns to it after the neighbours and before other regions.

--- a/chicorychute/membership/regional.py
+++ b/chicorychute/membership/regional.py
@@ -1,7 +1,7 @@
 """State of instances as seen by one daemon where cross-region traffic is expensive.
 
-Load pattern: most work is served within its region, so only peers of the same region
-exchange load and verdicts, each its own and none relayed. Upstreams of other regions
+Load pattern: most work is served within its region, so only neighbours of the same
+region exchange load and verdicts, each its own and none relayed. All other upstreams
 are known from the platform's list alone; their gates refuse requests for which they
 have no capacity. Each heartbeat echoes the last one received from its receiver, which
 confirms the network path in both directions without a message of its own: a path that
@@ -24,6 +24,7 @@
     Verdict,
 )
 from chicorychute.membership.digests import with_reduced_precision
+from chicorychute.membership.neighbours import choose_neighbours
 from chicorychute.membership.records import services_in
 from chicorychute.membership.sends import Send
 from chicorychute.sources.base import ListedInstance, ListedUpstream
@@ -32,12 +33,13 @@
 PATH_TIMEOUT_ROUNDS = 3.5
 # Own heartbeats that are remembered; an echo of an older one is ignored.
 MAX_SENT_HEARTBEATS = 64
-# Time for which an instance of another region is suspect after a failed message.
-OTHER_REGION_SUSPECT_S = 3.0
+# Time for which an instance without heartbeats is suspect after a failed message.
+LISTED_SUSPECT_S = 3.0
 # Rounds between two complete heartbeats, which repair what a peer missed.
 COMPLETE_HEARTBEAT_ROUNDS = 4
-# Silence after which a peer that is no longer listed is removed.
-UNLISTED_PEER_TIMEOUT_S = 4.0
+# Silence after which a peer that is no longer listed is removed, and one that is no
+# neighbour gets no more heartbeats.
+SILENT_PEER_TIMEOUT_S = 4.0
 
 
 @attrs.define
@@ -69,7 +71,10 @@
 
 
 class RegionalView:
-    """View of the own region by heartbeats, and of the others by the platform's list.
+    """View of neighbours in the own region by heartbeats, of others by the list.
+
+    Heartbeats go to the chosen neighbours, and to the peers that have sent one lately:
+    an instance answers those that have chosen it.
 
     Parameters
     ----------
@@ -97,6 +102,8 @@
         self._peer_by_id: dict[str, Peer] = {}
         self._sent_s_by_heartbeat: OrderedDict[int, float] = OrderedDict()
         self._rounds = 0
+        self._neighbours: set[str] = set()
+        self._neighbours_outdated = True
         # Own heartbeat at the last change of what short heartbeats omit.
         self._lasting_change_heartbeat = own.heartbeat
 
@@ -131,7 +138,7 @@
             self._lasting_change_heartbeat = heartbeat
 
     def broadcast_own(self) -> tuple[Send, ...]:
-        """Return a heartbeat for every peer of the region, between regular rounds."""
+        """Return a heartbeat for every partner, between regular rounds."""
         return self.gossip_round()
 
     def apply_leaving_flags(
@@ -141,9 +148,10 @@
         return False
 
     def gossip_round(self) -> tuple[Send, ...]:
-        """Return a heartbeat for every peer of the region."""
+        """Return a heartbeat for every neighbour, and for those that sent one."""
         self._record_sent()
         self._rounds += 1
+        self._choose_neighbours()
         complete = self._rounds % COMPLETE_HEARTBEAT_ROUNDS == 0
         own_record = self._own_with_reduced_precision()
         load_digests = tuple(
@@ -157,7 +165,31 @@
                 Pulse(own_record.heartbeat, peer.record.heartbeat, load_digests),
             )
             for instance, peer in self._peer_by_id.items()
-            if peer.record.region == self._own.region
+            if self.reports_load(instance)
+        )
+
+    def reports_load(self, instance: str) -> bool:
+        """Return whether heartbeats are exchanged with an instance."""
+        if instance == self._own.instance:
+            return True
+        peer = self._peer_by_id.get(instance)
+        if peer is None or peer.record.region != self._own.region:
+            return False
+        return instance in self._neighbours or self._is_heard(peer)
+
+    def _is_heard(self, peer: Peer) -> bool:
+        """Return whether a peer has sent a heartbeat lately."""
+        return (
+            peer.last_heard_s is not None
+            and self._clock.monotonic() - peer.last_heard_s <= SILENT_PEER_TIMEOUT_S
+        )
+
+    def _choose_neighbours(self) -> None:
+        if not self._neighbours_outdated:
+            return
+        self._neighbours_outdated = False
+        self._neighbours = choose_neighbours(
+            self._own, (peer.record for peer in self._peer_by_id.values())
         )
 
     def complete_heartbeat_for(self, instance: str) -> tuple[Send, ...]:
@@ -210,6 +242,8 @@
                 record, listed=known_peer is not None and known_peer.listed
             )
             self._peer_by_id[record.instance] = known_peer
+        if record.services != known_peer.record.services:
+            self._neighbours_outdated = True
         known_peer.record = record
         known_peer.last_heard_s = now_s
         if complete_heartbeat.echo_incarnation != self._own.incarnation:
@@ -244,18 +278,14 @@
 
     def apply_instance_list(self, listed: Iterable[ListedInstance]) -> None:
         """Apply the platform's list; remove unresponsive peers that it lacks."""
-        now_s = self._clock.monotonic()
+        self._neighbours_outdated = True
         for peer in self._peer_by_id.values():
             peer.listed = False
         for item in listed:
             if item.instance != self._own.instance and item.upstreams:
                 self._apply_listed(item)
         for instance, peer in list(self._peer_by_id.items()):
-            is_unresponsive = (
-                peer.last_heard_s is None
-                or now_s - peer.last_heard_s > UNLISTED_PEER_TIMEOUT_S
-            )
-            if not peer.listed and is_unresponsive:
+            if not peer.listed and not self._is_heard(peer):
                 del self._peer_by_id[instance]
 
     def _apply_listed(self, item: ListedInstance) -> None:
@@ -268,7 +298,8 @@
             self._peer_by_id[item.instance] = Peer(record)
             return
         peer.listed = True
-        if peer.last_heard_s is None:
+        if not self.reports_load(item.instance) or peer.last_heard_s is None:
+            # The load that a former partner reported is outdated.
             peer.record = attrs.evolve(
                 peer.record, upstreams=digests, services=services_in(digests)
             )
@@ -294,8 +325,8 @@
     def status_of(self, instance: str) -> MemberStatus:
         """Return the status of an instance, DEAD where it is unknown.
 
-        A peer of the region is ALIVE while the network path is confirmed in both
-        directions; an instance of another region until a message to it fails.
+        A peer with which heartbeats are exchanged is ALIVE while the network path is
+        confirmed in both directions; any other instance until a message to it fails.
         """
         if instance == self._own.instance:
             return self._own.status
@@ -305,10 +336,9 @@
         if peer.record.status is not MemberStatus.ALIVE:
             return peer.record.status
         now_s = self._clock.monotonic()
-        if peer.record.region != self._own.region:
+        if not self.reports_load(instance):
             is_alive = (
-                peer.path_lost_s is None
-                or now_s - peer.path_lost_s > OTHER_REGION_SUSPECT_S
+                peer.path_lost_s is None or now_s - peer.path_lost_s > LISTED_SUSPECT_S
             )
         elif peer.path_confirmed_s is None:
             is_alive = False
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -184,6 +184,10 @@
             hosts.append(self._own)
         return hosts
 
+    def reports_load(self, instance: str) -> bool:
+        """Return True: gossip carries the load of every instance."""
+        return True
+
     def gossip_round(self) -> tuple[Send, ...]:
         """Check open probes and probe this round's partners."""
         now_s = self._clock.monotonic()
--- a/chicorychute/routing/candidates.py
+++ b/chicorychute/routing/candidates.py
@@ -35,6 +35,9 @@
     ----------
     trial : bool
         Whether the request tests if the upstream may return to rotation.
+    load_reported : bool
+        Whether its gate reports load and health to the entry. Otherwise the digest
+        holds what the platform's list says.
     """
 
     instance: str
@@ -42,6 +45,7 @@
     distance: int
     status: MemberStatus = MemberStatus.ALIVE
     trial: bool = False
+    load_reported: bool = True
 
 
 def distance_between(own: MemberRecord, other: MemberRecord) -> int:
--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -6,9 +6,13 @@
 one after the other, the one with the best prediction first, and each accepts the
 request only if a slot is free. A refusal costs a round trip of the link and reports
 the wait. Only then the request joins a queue: the shortest reported one, or that of a
-gate in another region if none of the same region meets the target. Where nearly all
+gate further away if none of the nearby gates meets the target. Where nearly all
 gates are busy, asking one more costs more than the slot that it seldom finds, so only
 few gates are asked, even in a large region.
+
+In a large region an entry knows the load of its neighbours alone. The other gates of
+the region are asked once no neighbour can meet the target, before those of other
+regions: their load is not known, but they are near.
 """
 
 import math
@@ -24,6 +28,8 @@
 
 # Asking 5 gates of 4 slots finds a free slot for half the requests at a load of 0.96.
 MAX_SAME_REGION_ASKED = 5
+# Gates of the own region whose load is not known.
+MAX_UNKNOWN_LOAD_ASKED = 3
 # Each gate asked in another region costs a round trip of 60 ms.
 MAX_OTHER_REGION_ASKED = 2
 
@@ -80,6 +86,7 @@
         self._report_by_upstream: dict[str, GateReport] = {}
         self._excluded: set[str] = set()
         self._same_region_asked = 0
+        self._unknown_load_asked = 0
         self._other_region_asked = 0
 
     def choose_next(
@@ -93,23 +100,27 @@
         unasked = [
             c for c in usable if c.digest.upstream not in self._report_by_upstream
         ]
-        same_region = [c for c in unasked if c.distance < Distance.OTHER_REGION]
-        other_region = [
-            c
-            for c in unasked
-            if c.distance == Distance.OTHER_REGION and cross_region_allowed
-        ]
+        groups = _Groups(unasked)
         is_only_gate = len(usable) == 1
         if self._same_region_asked < MAX_SAME_REGION_ASKED:
-            same_region_choice = self._choose_unasked(same_region, remaining_ms)
-            if same_region_choice is not None:
+            neighbour_choice = self._choose_unasked(groups.neighbours, remaining_ms)
+            if neighbour_choice is not None:
                 self._same_region_asked += 1
-                return SendTo(same_region_choice, may_wait=is_only_gate)
+                return SendTo(neighbour_choice, may_wait=is_only_gate)
         asked_choice = self._choose_asked(usable, remaining_ms)
         if asked_choice is not None and asked_choice.cost_ms <= self._target_ms:
             return SendTo(asked_choice, may_wait=True)
-        if self._other_region_asked < MAX_OTHER_REGION_ASKED:
-            other_region_choice = self._choose_unasked(other_region, remaining_ms)
+        if self._unknown_load_asked < MAX_UNKNOWN_LOAD_ASKED:
+            unknown_load_choice = self._choose_unasked(
+                groups.unknown_load, remaining_ms
+            )
+            if unknown_load_choice is not None:
+                self._unknown_load_asked += 1
+                return SendTo(unknown_load_choice, may_wait=is_only_gate)
+        if cross_region_allowed and self._other_region_asked < MAX_OTHER_REGION_ASKED:
+            other_region_choice = self._choose_unasked(
+                groups.other_region, remaining_ms
+            )
             if other_region_choice is not None and _costs_less(
                 other_region_choice, asked_choice
             ):
@@ -175,6 +186,32 @@
         return best
 
 
+class _Groups:
+    """Gates in the order in which they are asked.
+
+    Attributes
+    ----------
+    neighbours : list of Candidate
+        Gates of the own region that report their load.
+    unknown_load : list of Candidate
+        Other gates of the own region.
+    other_region : list of Candidate
+        Gates of other regions.
+    """
+
+    def __init__(self, candidates: list[Candidate]):
+        self.neighbours: list[Candidate] = []
+        self.unknown_load: list[Candidate] = []
+        self.other_region: list[Candidate] = []
+        for candidate in candidates:
+            if candidate.distance == Distance.OTHER_REGION:
+                self.other_region.append(candidate)
+            elif candidate.load_reported:
+                self.neighbours.append(candidate)
+            else:
+                self.unknown_load.append(candidate)
+
+
 def _costs_less(choice: Choice, other: Choice | None) -> bool:
     return other is None or choice.cost_ms < other.cost_ms
 
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -118,7 +118,13 @@
     def _find_candidates(self, service: str) -> tuple[Candidate, ...]:
         own = self._view.own
         return tuple(
-            Candidate(record.instance, digest, distance_between(own, record), status)
+            Candidate(
+                record.instance,
+                digest,
+                distance_between(own, record),
+                status,
+                load_reported=self._view.reports_load(record.instance),
+            )
             for record in self._view.hosts(service)
             if (status := self._view.status_of(record.instance)) in PRESENT_STATUSES
             for digest in record.upstreams
@@ -149,7 +155,7 @@
         return [
             c.digest
             for c in self.candidates(service)
-            if c.instance != own and c.status is MemberStatus.ALIVE
+            if c.instance != own and c.status is MemberStatus.ALIVE and c.load_reported
         ]
 
     def publish(
--- a/tests/membership/test_regional.py
+++ b/tests/membership/test_regional.py
@@ -19,7 +19,7 @@
 )
 from chicorychute.membership.regional import (
     COMPLETE_HEARTBEAT_ROUNDS,
-    OTHER_REGION_SUSPECT_S,
+    LISTED_SUSPECT_S,
     PATH_TIMEOUT_ROUNDS,
     RegionalView,
 )
@@ -126,7 +126,7 @@
     assert [d.slots for d in view.record_of("z").upstreams] == [4]
     view.on_unreachable("z")
     assert view.status_of("z") is MemberStatus.SUSPECT
-    net.clock.advance(OTHER_REGION_SUSPECT_S + 0.1)
+    net.clock.advance(LISTED_SUSPECT_S + 0.1)
     assert view.status_of("z") is MemberStatus.ALIVE
 
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -16,6 +16,7 @@
 from chicorychute.routing.placement import (
     MAX_OTHER_REGION_ASKED,
     MAX_SAME_REGION_ASKED,
+    MAX_UNKNOWN_LOAD_ASKED,
     GateReport,
     Placement,
 )
@@ -25,11 +26,18 @@
 REMAINING_MS = 4000.0
 
 
-def gate(name, distance=Distance.SAME_ZONE, latency_ms=300.0, risk=0.02, queued=0):
+def gate(
+    name,
+    distance=Distance.SAME_ZONE,
+    latency_ms=300.0,
+    risk=0.02,
+    queued=0,
+    load_reported=True,
+):
     digest = UpstreamDigest(
         name, "s", Verdict.HEALTHY, 4, 0, queued, latency_ms, 0.0, 1.0, risk=risk
     )
-    return Candidate(name, digest, distance)
+    return Candidate(name, digest, distance, load_reported=load_reported)
 
 
 def place(
@@ -146,3 +154,28 @@
     )
     assert sends[-1][0].startswith("other-region")
     assert not sends[-1][1]
+
+
+UNKNOWN_LOAD_GATES = [
+    gate(f"unknown-{number}", Distance.SAME_REGION, 0.0, load_reported=False)
+    for number in range(9)
+]
+LATE = GateReport(3 * TARGET_MS, 0.02)
+
+
+def test_gates_of_unknown_load_are_not_asked_while_neighbours_meet_the_target():
+    gates = SAME_REGION_GATES + UNKNOWN_LOAD_GATES
+    reports = dict.fromkeys("abc", BUSY)
+    sends, _ = place(gates, reports)
+    assert {name for name, _ in sends} == {"a", "b", "c"}
+
+
+def test_gates_of_unknown_load_are_asked_before_those_of_other_regions():
+    gates = SAME_REGION_GATES + UNKNOWN_LOAD_GATES + OTHER_REGION_GATES
+    reports = dict.fromkeys(("a", "b", "c"), LATE)
+    reports |= {gate.instance: LATE for gate in UNKNOWN_LOAD_GATES}
+    sends, _ = place(gates, reports)
+    names = [name for name, _ in sends]
+    assert all(name.startswith("unknown") for name in names[3:-1])
+    assert len(names[3:-1]) == MAX_UNKNOWN_LOAD_ASKED
+    assert names[-1].startswith("other-region")
