--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -39,7 +39,6 @@
 from chicorychute.routing.candidates import eligible
 from chicorychute.routing.choice import choose
 from chicorychute.services.fleet import FleetService
-from chicorychute.sources.pacing import ReadPace
 from chicorychute.table.edits import parse_edit
 from chicorychute.table.parse import parse_table
 from chicorychute.table.relay import Location, announce_targets
@@ -473,8 +472,7 @@
 def _measure_entry() -> None:
     view = make_view(DAEMONS)
     rng = random.Random(1)
-    pace = ReadPace(1.0, 0.0, ManualClock(), rng)
-    fleet = FleetService(view, None, (), None, pace, rng, lambda: None)
+    fleet = FleetService(view, (), None, rng, lambda: None)
     service = view.own.services[0]
     table = parse_table(1, make_table_text(SERVICES, ROUTES // SERVICES)).ok_value
     index = RouteIndex(table)
--- a/chicorychute/core/messages.py
+++ b/chicorychute/core/messages.py
@@ -13,7 +13,7 @@
 
 from chicorychute.core.outcomes import Outcome, Reason
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -288,6 +288,9 @@
     complete : bool
         Whether `upstreams` is filled in; it is empty for peers that host none of
         the services.
+    list_revision : int
+        Revision of the platform's list that the instance has read from the platform,
+        0 if it does not read the list.
     """
 
     instance: str
@@ -305,6 +308,7 @@
     table_hash: str = ""
     services: tuple[str, ...] = ()
     complete: bool = True
+    list_revision: int = 0
 
 
 @attrs.frozen
@@ -362,6 +366,8 @@
         Heartbeat of the receiver's last record, 0 where none was received.
     upstreams : tuple of UpstreamDigest
         Digests without `ranks`, which change slowly.
+    list_revision : int
+        As in the record of the sender.
     """
 
     heartbeat: int
@@ -369,6 +375,7 @@
     upstreams: tuple[UpstreamDigest, ...] = attrs.field(
         metadata={"item": UpstreamDigest}
     )
+    list_revision: int = 0
 
 
 @attrs.frozen
@@ -482,6 +489,61 @@
     refusal: Refusal
 
 
+@attrs.frozen
+class ListedUpstream:
+    """Incarnation of an upstream on the platform's instance list.
+
+    Attributes
+    ----------
+    id : str
+        Identifies this incarnation of the upstream, and no other.
+    address : str
+        ``host:port`` at which it listens; a later upstream may reuse it.
+    leaving : bool
+        Whether it accepts no new work.
+    cold_s : float
+        Seconds for which it is still slow after its start.
+    started_ms : int
+        Its start in milliseconds of Unix time, 0 if unknown.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold_s: float
+    started_ms: int
+
+
+@attrs.frozen
+class ListRequest:
+    """Asks a peer for the changes of the platform's list since a revision."""
+
+    known_revision: int
+
+
+@attrs.frozen
+class ListUpdate:
+    """Changes of the platform's list.
+
+    Attributes
+    ----------
+    since : int
+        Revision that the changes follow; 0 if `changed` is the whole list.
+    revision : int
+        Revision up to which the list is complete with them.
+    removed : tuple of str
+        Ids of the upstreams that are no longer listed.
+    """
+
+    since: int
+    revision: int
+    changed: tuple[ListedUpstream, ...] = attrs.field(metadata={"item": ListedUpstream})
+    removed: tuple[str, ...]
+
+
 Message = (
     Hello
     | Forward
@@ -505,4 +567,6 @@
     | RecalledAnswer
     | RecalledRefusal
     | Pulse
+    | ListRequest
+    | ListUpdate
 )
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -25,6 +25,9 @@
     Forward,
     Gossip,
     Hello,
+    ListedUpstream,
+    ListRequest,
+    ListUpdate,
     MemberRecord,
     MemberStatus,
     Message,
@@ -56,6 +59,7 @@
 from chicorychute.services.exchanges import Exchanges
 from chicorychute.services.fleet import FleetService
 from chicorychute.services.gate import GateService
+from chicorychute.services.listing import ListService
 from chicorychute.services.notices import NoticeService
 from chicorychute.services.peers import PeerService
 from chicorychute.services.permits import ServerPermits
@@ -67,7 +71,7 @@
 from chicorychute.services.stopping import StopSignals
 from chicorychute.services.tables import TableService
 from chicorychute.services.ticker import Task, Ticker
-from chicorychute.sources.base import ListedUpstream, PlatformBackend
+from chicorychute.sources.base import PlatformBackend
 from chicorychute.sources.http import HttpPlatform
 from chicorychute.sources.pacing import ReadPace
 from chicorychute.table.rows import Table
@@ -228,20 +232,27 @@
         self._watch_pace = self._read_pace(TABLE_PAUSE_S)
         self._fleet = FleetService(
             view,
-            self._platform,
             get("peer", "seeds"),
             self._senders,
-            self._list_pace,
             self._rng,
             self._on_listed_leaving,
+        )
+        self._lists = ListService(
+            self._fleet,
+            self._platform,
+            get("peer", "port"),
+            self._senders,
+            self._list_pace,
+            self._clock,
             self._on_listed,
-            self._is_mesh,
+            relays=self._is_mesh,
         )
         self._notices = NoticeService(self._fleet, self._get_hub, self._rng)
         self._tables = TableService(
             TableVersions(self._clock),
             self._platform,
             self._fleet,
+            self._lists.reads_platform,
             self._senders,
             self._watch_pace,
             self._rng,
@@ -379,9 +390,7 @@
         ]
         tickers = [Ticker("rounds", tasks, self._clock, self._is_idle)]
         if platform is not None:
-            tickers.append(
-                self._read_ticker("list", self._fleet.read_list, self._list_pace)
-            )
+            tickers.append(self._read_ticker("list", self._lists.read, self._list_pace))
             tickers.append(self._read_ticker("watch", self._watch, self._watch_pace))
         return tickers
 
@@ -461,7 +470,12 @@
     def _publish(self) -> None:
         digests = self._gate.digests()
         self._telemetry.verdicts.observe(digests)
-        self._fleet.publish(self._tables.version, digests, self._tables.hash)
+        self._fleet.publish(
+            self._tables.version,
+            digests,
+            self._tables.hash,
+            self._lists.announced_revision(),
+        )
 
     def _gossip(self) -> None:
         self._publish()
@@ -519,8 +533,14 @@
                 self._fleet.on_beat(link, message)
                 announce = TableAnnounce(record.table_version, record.table_hash)
                 self._tables.on_announce(link, announce)
+                self._lists.on_announced(link, record.list_revision)
             case Pulse():
                 self._fleet.on_pulse(link, message)
+                self._lists.on_announced(link, message.list_revision)
+            case ListRequest():
+                self._lists.on_request(link, message)
+            case ListUpdate():
+                self._lists.on_update(link, message)
             case DigestUpdate():
                 self._fleet.on_digests(message)
             case ProbeRequest():
--- a/chicorychute/membership/regional.py
+++ b/chicorychute/membership/regional.py
@@ -117,9 +117,11 @@
         table_version: int,
         upstreams: tuple[UpstreamDigest, ...],
         table_hash: str = "",
+        list_revision: int = 0,
     ) -> None:
-        """Replace the own digests."""
+        """Replace the own digests and what the own record states."""
         self._update_own(
+            list_revision=list_revision,
             table_version=table_version,
             table_hash=table_hash,
             upstreams=upstreams,
@@ -162,7 +164,12 @@
             if complete or not self._has_echoed_lasting_change(peer)
             else Send(
                 instance,
-                Pulse(own_record.heartbeat, peer.record.heartbeat, load_digests),
+                Pulse(
+                    own_record.heartbeat,
+                    peer.record.heartbeat,
+                    load_digests,
+                    own_record.list_revision,
+                ),
             )
             for instance, peer in self._peer_by_id.items()
             if self.reports_load(instance)
@@ -266,7 +273,10 @@
             for digest in short_heartbeat.upstreams
         )
         known_peer.record = attrs.evolve(
-            known_peer.record, heartbeat=short_heartbeat.heartbeat, upstreams=digests
+            known_peer.record,
+            heartbeat=short_heartbeat.heartbeat,
+            upstreams=digests,
+            list_revision=short_heartbeat.list_revision,
         )
         known_peer.last_heard_s = self._clock.monotonic()
         self._apply_echo(known_peer, short_heartbeat.echo)
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -99,8 +99,12 @@
         table_version: int,
         upstreams: tuple[UpstreamDigest, ...],
         table_hash: str = "",
+        list_revision: int = 0,
     ) -> None:
-        """Increment the own heartbeat and replace the own digests."""
+        """Increment the own heartbeat and replace the own digests.
+
+        Gossip does not relay the platform's list: its revision is not sent.
+        """
         services = services_in(upstreams)
         previous = self._own
         self._own = attrs.evolve(
--- a/chicorychute/platform/backend.py
+++ b/chicorychute/platform/backend.py
@@ -16,11 +16,12 @@
     read_config,
 )
 from chicorychute.sources.base import (
-    ListedInstance,
+    InstanceList,
     ListedUpstream,
     PlatformBackend,
     PlatformError,
     TableDocument,
+    instances_of,
 )
 
 # Long, because every call is charged; the store allows up to 30 s.
@@ -73,34 +74,48 @@
                 self._watch_revision = None
                 return Err(error)
 
-    def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
+    def read_instances(self) -> Result[InstanceList, PlatformError]:
         """Return the instances, one for each host with its upstreams.
 
         The first call reads every entry, later calls wait for a change: the complete
         list takes some kilobytes for each daemon, a change some hundred bytes.
         """
-        match (
-            self._read_upstreams() if self._mirror is None else self._watch_upstreams()
-        ):
+        match self._read_first() if self._mirror is None else self._watch_upstreams():
             case Err(error):
                 return Err(error)
-        by_host: dict[str, list[ListedUpstream]] = {}
-        for entry in self._usable_entries():
-            host = entry.address.rpartition(":")[0]
-            by_host.setdefault(host, []).append(_listed_upstream(entry))
-        return Ok(
-            tuple(
-                ListedInstance(host, host, self._peer_port, False, tuple(upstreams))
-                for host, upstreams in by_host.items()
-            )
-        )
+        upstreams = map(_listed_upstream, self._usable_entries())
+        instances = instances_of(upstreams, self._peer_port)
+        return Ok(InstanceList(instances, self._mirror.list_revision))
+
+    def _read_first(self) -> Result[None, PlatformError]:
+        """Read every entry by stale reads, then all changes since.
+
+        Stale reads cost a tenth and may be seconds old. The changes since the newest
+        entry of the first page bring them up to date; nothing is used before.
+        """
+        match self._store.items(UPSTREAM_PREFIX, allow_stale=True):
+            case Err(error):
+                return Err(error)
+            case Ok(pages):
+                mirror = UpstreamMirror(pages)
+        mirror.revision = max((item.mod_revision for item in pages[0].items), default=0)
+        match self._apply_changes(mirror, 0.0):
+            case Err(HistoryGone()):
+                return self._read_upstreams()
+            case Err(error):
+                return Err(error)
+        mirror.drop_lapsed()
+        self._mirror = mirror
+        return Ok(None)
 
     def _read_upstreams(self) -> Result[None, PlatformError]:
+        """Read every entry; the changes since the last read are not available."""
         match self._store.items(UPSTREAM_PREFIX):
             case Err(error):
                 return Err(error)
             case Ok(pages):
-                self._mirror = UpstreamMirror(pages)
+                # Removals that were missed make the list newer than its entries.
+                self._mirror = UpstreamMirror(pages, pages[0].store_revision)
         return Ok(None)
 
     def _watch_upstreams(self) -> Result[None, PlatformError]:
--- a/chicorychute/platform/mirror.py
+++ b/chicorychute/platform/mirror.py
@@ -26,11 +26,15 @@
     ----------
     revision : int
         Revision of the store up to which changes are known.
+    list_revision : int
+        Revision of the newest known change of an upstream's entry. Other changes of
+        the store do not raise it.
     fault_by_key : dict
         Reason why an entry was rejected; other writers may add malformed entries.
     """
 
-    def __init__(self, pages: Iterable[StorePage]):
+    def __init__(self, pages: Iterable[StorePage], list_revision: int = 0):
+        self.list_revision = list_revision
         self.fault_by_key: dict[str, str] = {}
         self._mod_revision_by_key: dict[str, int] = {}
         self._entry_by_key: dict[str, UpstreamEntry] = {}
@@ -75,6 +79,7 @@
         if change.mod_revision < self._mod_revision_by_key.get(key, 0):
             return
         self._mod_revision_by_key[key] = change.mod_revision
+        self.list_revision = max(self.list_revision, change.mod_revision)
         self.fault_by_key.pop(key, None)
         self._lapsed_keys.discard(key)
         match change:
--- a/chicorychute/platform/store.py
+++ b/chicorychute/platform/store.py
@@ -75,10 +75,20 @@
         """Return one item with the store's revision, None if the key is not set."""
         return self._call("kv-key", {"key": key}, read_item, NOT_FOUND)
 
-    def items(self, prefix: str) -> Result[list[StorePage], PlatformError]:
-        """Return every page of the items whose keys begin with `prefix`."""
+    def items(
+        self, prefix: str, allow_stale: bool = False
+    ) -> Result[list[StorePage], PlatformError]:
+        """Return every page of the items whose keys begin with `prefix`.
+
+        Parameters
+        ----------
+        allow_stale : bool
+            Whether the pages may be seconds old, which costs the store less.
+        """
         pages: list[StorePage] = []
         query = {"path_prefix": prefix}
+        if allow_stale:
+            query["allow_stale"] = "1"
         while not pages or not pages[-1].is_last:
             match self._call("kv-range", query, read_page):
                 case Ok(page):
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -5,15 +5,13 @@
 import threading
 from collections.abc import Callable, Iterable, Iterator
 
-import structlog
-from result import Err, Ok
-
 from chicorychute.core.messages import (
     Beat,
     DigestUpdate,
     Gossip,
     MemberRecord,
     MemberStatus,
+    Message,
     ProbeRequest,
     Pulse,
     UpstreamDigest,
@@ -26,57 +24,34 @@
     distance_between,
 )
 from chicorychute.services.senders import Address, Senders
-from chicorychute.sources.base import ListedInstance, ListedUpstream, PlatformBackend
-from chicorychute.sources.pacing import ReadPace
+from chicorychute.sources.base import ListedInstance
 from chicorychute.transport.links import Link
 
-# Entries that lapsed in an outage of the platform are listed again about 2 s after it.
-COMPLETE_LIST_AFTER_S = 3.0
 # Rounds between two scans of all records for the zone's readers and unknown addresses.
 SCAN_INTERVAL_ROUNDS = 8
 
-logger = structlog.get_logger()
-
-
-def _ignore_list(upstreams: tuple[ListedUpstream, ...], complete: bool) -> None:
-    """Ignore the upstreams of a list."""
-
 
 class FleetService:
     """Thread-safe view of the fleet.
 
     Parameters
     ----------
-    pace : ReadPace
-        Schedules the reads of the platform's list.
     on_listed_leaving : callable
         Called once when the platform's list marks the own instance as leaving.
-    on_listed : callable, optional
-        Called with every listed upstream and whether the list is complete.
-    every_daemon_reads : bool
-        Whether every daemon reads the platform, instead of a few in each zone.
     """
 
     def __init__(
         self,
         view: MembershipView,
-        platform: PlatformBackend | None,
         seeds: tuple[Address, ...],
         senders: Senders,
-        pace: ReadPace,
         rng: random.Random,
         on_listed_leaving: Callable[[], None],
-        on_listed: Callable[[tuple[ListedUpstream, ...], bool], None] = _ignore_list,
-        every_daemon_reads: bool = False,
     ):
-        self._on_listed = on_listed
-        self._every_daemon_reads = every_daemon_reads
         self._view = view
-        self._platform = platform
         self._seeds = set(seeds)
         self._listed: frozenset[Address] = frozenset()
         self._senders = senders
-        self._pace = pace
         self._rng = rng
         self._on_listed_leaving = on_listed_leaving
         self._zone_reader = True
@@ -163,10 +138,11 @@
         table_version: int,
         digests: tuple[UpstreamDigest, ...],
         table_hash: str = "",
+        list_revision: int = 0,
     ) -> None:
-        """Replace the own digests."""
+        """Replace the own digests and what the own record states."""
         with self._changing_view():
-            self._view.publish(table_version, digests, table_hash)
+            self._view.publish(table_version, digests, table_hash, list_revision)
 
     def gossip(self) -> None:
         """Run one gossip round."""
@@ -235,9 +211,35 @@
                 link.peer.instance, link.peer.incarnation, pulse
             )
 
-    def reads_platform(self) -> bool:
-        """Return whether this daemon is one of those that read the platform."""
-        return self._every_daemon_reads or self._zone_reader
+    def is_zone_reader(self) -> bool:
+        """Return whether this daemon is one of those that read for the zone."""
+        return self._zone_reader
+
+    def has_list_reader(self) -> bool:
+        """Return whether a live peer of the zone reads the platform's list."""
+        own = self._view.own
+        with self._lock:
+            return any(
+                record.list_revision > 0
+                and record.zone == own.zone
+                and record.instance != own.instance
+                and self._view.reports_load(record.instance)
+                and self._view.status_of(record.instance) is MemberStatus.ALIVE
+                for record in self._view.records()
+            )
+
+    def send_to_zone(self, message: Message) -> None:
+        """Send a message to every peer of the zone that exchanges heartbeats."""
+        own = self._view.own
+        with self._lock:
+            instances = [
+                record.instance
+                for record in self._view.records()
+                if record.zone == own.zone
+                and record.instance != own.instance
+                and self._view.reports_load(record.instance)
+            ]
+        self._send_all(Send(instance, message) for instance in instances)
 
     def _is_zone_reader(self) -> bool:
         own = self._view.own
@@ -248,24 +250,8 @@
         ]
         return own.instance in choose_readers(alive)
 
-    def read_list(self) -> None:
-        """Read the platform's list if it is due and this daemon is a reader."""
-        if not self._pace.due() or not self.reads_platform():
-            return
-        match self._platform.read_instances():
-            case Ok(listed):
-                complete = self._pace.since_failure_s > COMPLETE_LIST_AFTER_S
-                self._pace.record_success()
-                self._apply_list(listed)
-                upstreams = tuple(u for item in listed for u in item.upstreams)
-                self._on_listed(upstreams, complete)
-            case Err(error):
-                self._pace.record_failure()
-                logger.warning(
-                    "fleet: the platform's list can't be read", error=str(error)
-                )
-
-    def _apply_list(self, listed: tuple[ListedInstance, ...]) -> None:
+    def apply_list(self, listed: tuple[ListedInstance, ...]) -> None:
+        """Apply the platform's list to the view."""
         own = self._view.own.instance
         leaving = [item.instance for item in listed if item.leaving]
         staying = [item.instance for item in listed if not item.leaving]
--- a/chicorychute/services/tables.py
+++ b/chicorychute/services/tables.py
@@ -27,6 +27,8 @@
 from chicorychute.transport.links import Link
 
 WATCH_TIMEOUT_S = 10.0
+# Time after which a daemon that does not read checks whether it has to.
+READER_CHECK_S = 0.5
 
 logger = structlog.get_logger()
 
@@ -36,6 +38,8 @@
 
     Parameters
     ----------
+    reads_platform : callable
+        Returns whether this daemon has to read the platform itself.
     pace : ReadPace
         Schedules the reads of the platform, with back-off after a failure.
     on_table : callable
@@ -47,6 +51,7 @@
         versions: TableVersions,
         platform: PlatformBackend | None,
         fleet: FleetService,
+        reads_platform: Callable[[], bool],
         senders: Senders,
         pace: ReadPace,
         rng: random.Random,
@@ -55,6 +60,7 @@
         self._versions = versions
         self._platform = platform
         self._fleet = fleet
+        self._reads_platform = reads_platform
         self._senders = senders
         self._pace = pace
         self._rng = rng
@@ -93,7 +99,10 @@
         bool
             Whether the caller may watch again at once.
         """
-        if not self._pace.due() or not self._fleet.reads_platform():
+        if not self._pace.due():
+            return False
+        if not self._reads_platform():
+            self._pace.postpone(READER_CHECK_S)
             return False
         known_version = self._versions.highest_seen_version
         match self._platform.watch_table(known_version, WATCH_TIMEOUT_S):
--- a/chicorychute/sources/base.py
+++ b/chicorychute/sources/base.py
@@ -1,9 +1,12 @@
 """Interface of a platform backend."""
 
+from collections.abc import Iterable
+
 import attrs
 from result import Result
 
 from chicorychute.core.exceptions import ChuteError
+from chicorychute.core.messages import ListedUpstream
 
 
 class PlatformError(ChuteError):
@@ -26,35 +29,47 @@
     host: str
     peer_port: int
     leaving: bool
-    upstreams: tuple["ListedUpstream", ...] = ()
+    upstreams: tuple[ListedUpstream, ...] = ()
 
 
 @attrs.frozen
-class ListedUpstream:
-    """Incarnation of an upstream on the platform's instance list.
+class InstanceList:
+    """The platform's list as it was read.
 
     Attributes
     ----------
-    id : str
-        Identifies this incarnation of the upstream, and no other.
-    address : str
-        ``host:port`` at which it listens; a later upstream may reuse it.
-    leaving : bool
-        Whether it accepts no new work.
-    cold_s : float
-        Seconds for which it is still slow after its start.
-    started_ms : int
-        Its start in milliseconds of Unix time, 0 if unknown.
+    revision : int
+        Revision up to which the list contains all changes, 0 where the platform
+        counts none.
     """
 
-    id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    leaving: bool
-    cold_s: float
-    started_ms: int
+    instances: tuple[ListedInstance, ...]
+    revision: int = 0
+
+    @property
+    def upstreams(self) -> tuple[ListedUpstream, ...]:
+        """The upstreams of all instances."""
+        return tuple(u for instance in self.instances for u in instance.upstreams)
+
+
+def instances_of(
+    upstreams: Iterable[ListedUpstream], peer_port: int
+) -> tuple[ListedInstance, ...]:
+    """Return the instances that host upstreams, one for each host.
+
+    Parameters
+    ----------
+    peer_port : int
+        Port on which the daemon of every instance listens for peers.
+    """
+    upstreams_by_host: dict[str, list[ListedUpstream]] = {}
+    for upstream in upstreams:
+        host = upstream.address.rpartition(":")[0]
+        upstreams_by_host.setdefault(host, []).append(upstream)
+    return tuple(
+        ListedInstance(host, host, peer_port, False, tuple(on_host))
+        for host, on_host in upstreams_by_host.items()
+    )
 
 
 class PlatformBackend:
@@ -66,7 +81,7 @@
         """Return a table newer than `known_version`, or None after `wait_s`."""
         raise NotImplementedError
 
-    def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
+    def read_instances(self) -> Result[InstanceList, PlatformError]:
         """Return the platform's list, which lags behind the actual state.
 
         A call after the first may wait some seconds for a change.
--- a/chicorychute/sources/http.py
+++ b/chicorychute/sources/http.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from chicorychute.sources.base import (
+    InstanceList,
     ListedInstance,
     PlatformBackend,
     PlatformError,
@@ -57,12 +58,13 @@
             case Err(error):
                 return Err(error)
 
-    def read_instances(self) -> Result[tuple[ListedInstance, ...], PlatformError]:
+    def read_instances(self) -> Result[InstanceList, PlatformError]:
         """Read the instance list."""
         match self._get("/instances", READ_TIMEOUT_S):
             case Ok(listed):
                 try:
-                    return Ok(tuple(ListedInstance(**item) for item in listed))
+                    instances = tuple(ListedInstance(**item) for item in listed)
+                    return Ok(InstanceList(instances))
                 except TypeError:
                     return Err(_malformed_response("/instances"))
             case Err(error):
--- a/chicorychute/sources/pacing.py
+++ b/chicorychute/sources/pacing.py
@@ -59,6 +59,10 @@
         self._pause_s = self._first_pause_s
         self._wait(self._interval_s * self._rng.uniform(0.75, 1.25))
 
+    def postpone(self, seconds: float) -> None:
+        """Schedule the next read, or the next check whether to read, in `seconds`."""
+        self._wait(seconds)
+
     def record_failure(self) -> None:
         """Schedule the read after one that failed or returned nothing usable."""
         self._last_failure_s = self._clock.monotonic()
--- a/standins/store.py
+++ b/standins/store.py
@@ -48,6 +48,8 @@
         self._events: list[dict] = []
         self.faults = StoreFaults()
         self.calls: list[str] = []
+        self.stale_calls = 0
+        self._stale_item_by_key: dict[str, dict] | None = None
 
     def put(self, key: str, value: object) -> int:
         """Write a value, as JSON unless it is bytes; return the new revision."""
@@ -82,11 +84,17 @@
             self.faults.oldest_known_revision = self._revision + 1
             self._events.clear()
 
+    def freeze_stale_reads(self) -> None:
+        """Answer stale reads with the present items from now on."""
+        with self._changed:
+            self._stale_item_by_key = dict(self._item_by_key)
+
     def __call__(self, environ, start_response):
         """Answer one HTTP request."""
         query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
         name = environ["PATH_INFO"].rpartition("/")[2]
         self.calls.append(name)
+        self.stale_calls += query.get("allow_stale") == "1"
         faults = self.faults
         if faults.status or 0 < faults.fail_after < len(self.calls):
             start_response(f"{faults.status or 503} Fault", JSON_HEADERS)
@@ -109,14 +117,17 @@
 
     def _list_range(self, query):
         with self._changed:
+            item_by_key = self._item_by_key
+            if query.get("allow_stale") == "1" and self._stale_item_by_key is not None:
+                item_by_key = self._stale_item_by_key
             keys = sorted(
                 key
-                for key in self._item_by_key
+                for key in item_by_key
                 if key.startswith(query["path_prefix"]) and key > query.get("after", "")
             )
             page = keys[: self._page_size]
             return "200 OK", {
-                "items": [self._item_by_key[key] for key in page],
+                "items": [item_by_key[key] for key in page],
                 "truncated": len(keys) > len(page),
                 "current_rev": self._revision,
             }
--- a/tests/platform/test_backend.py
+++ b/tests/platform/test_backend.py
@@ -71,7 +71,7 @@
     for number in range(5):
         address = f"10.0.0.{number}:80"
         store.put(f"servers/i-{number}", make_registration(address))
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert sorted(item.host for item in listed) == [f"10.0.0.{n}" for n in range(5)]
     assert {item.peer_port for item in listed} == {7000}
     assert {item.upstreams[0].slots for item in listed} == {4}
@@ -84,7 +84,7 @@
     store.put("servers/b", make_registration("10.0.0.1:80"))
     store.put("servers/c", make_registration("10.0.0.2:80", service="unknown"))
     store.put("servers/d", {"address": 5})
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert [item.host for item in listed] == ["10.0.0.1"]
 
 
@@ -93,7 +93,7 @@
     store.put("servers/b", make_registration("10.0.0.2:80"))
     store._item_by_key["servers/a"]["value"] = "no base64 !"
     with structlog.testing.capture_logs() as lines:
-        listed = platform.read_instances().ok_value
+        listed = platform.read_instances().ok_value.instances
         platform.read_instances()
     assert [item.host for item in listed] == ["10.0.0.2"]
     (line,) = lines
@@ -108,11 +108,11 @@
     reads = store.calls.count("kv-range")
     store.put("servers/c", make_registration("10.0.0.3:80"))
     store.remove("servers/a")
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert sorted(item.host for item in listed) == ["10.0.0.2", "10.0.0.3"]
     leaving = {"state": "draining", "seq": 2, "cold_left": "0ms"}
     store.put("servers/b", make_registration("10.0.0.2:80", status=leaving))
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert [u.leaving for item in listed for u in item.upstreams] == [True, False]
     assert store.calls.count("kv-range") == reads
 
@@ -125,7 +125,7 @@
     store.remove("servers/a")
     store.put("servers/b", make_registration("10.0.0.2:80"))
     store.drop_history()
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert [item.host for item in listed] == ["10.0.0.2"]
 
 
@@ -136,7 +136,7 @@
     assert platform.read_instances().is_err()
     store.remove("servers/a")
     store.faults.status = 0
-    assert platform.read_instances().ok_value == ()
+    assert platform.read_instances().ok_value.instances == ()
 
 
 def test_entry_removed_in_an_outage_stays_listed_until_the_store_answers_again(
@@ -150,5 +150,57 @@
     assert platform._mirror.entries
     store.faults.fail_after = 0
     store.put("servers/a", make_registration("10.0.0.1:80"))
-    listed = platform.read_instances().ok_value
+    listed = platform.read_instances().ok_value.instances
     assert [item.host for item in listed] == ["10.0.0.1"]
+
+
+def test_first_list_costs_stale_reads_and_one_call_for_the_changes_since(
+    store, platform
+):
+    for number in range(4):
+        store.put(f"servers/i-{number}", make_registration(f"10.0.0.{number}:80"))
+    platform.read_instances()
+    assert store.stale_calls == store.calls.count("kv-range")
+    assert store.calls.count("kv-watch") == 1
+
+
+def test_upstream_that_left_before_a_restart_is_not_in_the_first_list(store, platform):
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    store.put("servers/b", make_registration("10.0.0.2:80"))
+    store.freeze_stale_reads()
+    leaving = {"state": "draining", "seq": 2, "cold_left": "0ms"}
+    store.put("servers/b", make_registration("10.0.0.2:80", status=leaving))
+    store.remove("servers/a")
+    store.put("servers/c", make_registration("10.0.0.3:80"))
+    (leaving_one, started) = platform.read_instances().ok_value.upstreams
+    assert (leaving_one.id, leaving_one.leaving) == ("b", True)
+    assert (started.id, started.leaving) == ("c", False)
+
+
+def test_first_list_is_read_anew_if_the_changes_since_are_dropped(store, platform):
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    store.freeze_stale_reads()
+    store.remove("servers/a")
+    store.put("servers/b", make_registration("10.0.0.2:80"))
+    store.drop_history()
+    listed = platform.read_instances().ok_value
+    assert [u.id for u in listed.upstreams] == ["b"]
+
+
+def test_revision_of_the_list_follows_the_upstreams_alone(store, platform):
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    first = platform.read_instances().ok_value.revision
+    store.put("op/config", make_config(3))
+    newest = store.put("servers/b", make_registration("10.0.0.2:80"))
+    assert platform.read_instances().ok_value.revision == newest > first
+    store.remove("servers/b")
+    assert platform.read_instances().ok_value.revision == newest + 1
+
+
+def test_revision_rises_if_removals_were_missed(store, platform):
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    store.put("servers/b", make_registration("10.0.0.2:80"))
+    before = platform.read_instances().ok_value.revision
+    store.remove("servers/b")
+    store.drop_history()
+    assert platform.read_instances().ok_value.revision > before
--- a/tests/services/test_fleet.py
+++ b/tests/services/test_fleet.py
@@ -56,7 +56,7 @@
 def fleet(clock):
     rng = random.Random(1)
     view = MembershipView(record("own"), SUSPECT_AFTER_S, clock, rng)
-    fleet = FleetService(view, None, (), FailingSenders(), None, rng, lambda: None)
+    fleet = FleetService(view, (), FailingSenders(), rng, lambda: None)
     receive(fleet, record("peer"))
     return fleet
 
@@ -88,7 +88,7 @@
     ),
     "own load": lambda fleet, _: fleet.publish(1, (digest("up-own", in_flight=2),)),
     "own leave": lambda fleet, _: fleet.leave(),
-    "platform's list": lambda fleet, _: fleet._apply_list(
+    "platform's list": lambda fleet, _: fleet.apply_list(
         (ListedInstance("peer", "127.0.0.1", 1, True),)
     ),
     "path lost": lose_path,
