Limit the retries that all daemons together save up for a service

Cause: each daemon saves up the retries of the row, two.

Change: [platform] retry_slack gives the sum; a daemon saves up its part by the number of known daemons, at least one.

At 24 to 235 daemons of the sites as given the part is 1.8 or more, as before.

--- a/chicorychute/conf/defaults.py
+++ b/chicorychute/conf/defaults.py
@@ -313,6 +313,15 @@
         "0 to 1000",
         "With backend mesh: value of the column of this name in every row.",
     ),
+    Key(
+        "platform",
+        "retry_slack",
+        _number(0, 1000000),
+        0.0,
+        "0 to 1000000, 0 for no limit",
+        "Retries that all daemons together may save up for a service. Each daemon saves"
+        " up its part, at most the retry_burst of the row and at least 1.",
+    ),
     Key(
         "platform",
         "floor",
--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -308,6 +308,7 @@
             self._get_hub,
             clock,
             self._rng,
+            self._settings.get("platform", "retry_slack"),
         )
         ledger = OrderLedger(hello.instance, hello.incarnation, clock)
         self._home = OrderHome(ledger, entry.relay, clock)
--- a/chicorychute/membership/regional.py
+++ b/chicorychute/membership/regional.py
@@ -112,6 +112,11 @@
         """Own record as last published."""
         return self._own
 
+    @property
+    def size(self) -> int:
+        """Number of known instances of all regions, the own included."""
+        return len(self._peer_by_id) + 1
+
     def publish(
         self,
         table_version: int,
--- a/chicorychute/membership/view.py
+++ b/chicorychute/membership/view.py
@@ -188,6 +188,11 @@
             hosts.append(self._own)
         return hosts
 
+    @property
+    def size(self) -> int:
+        """Number of instances that are not dead, the own included."""
+        return len(self._members.present) + 1
+
     def reports_load(self, instance: str) -> bool:
         """Return True: gossip carries the load of every instance."""
         return True
--- a/chicorychute/routing/budget.py
+++ b/chicorychute/routing/budget.py
@@ -34,6 +34,32 @@
         return True
 
 
+def burst_of_one(row_burst: float, fleet_burst: float, daemons: int) -> float:
+    """Return the retries that one daemon may save up.
+
+    Load pattern: a fault that many daemons see at the same moment, so that each spends
+    at once what it has saved up. What they spend together must not exceed the retries
+    that the fleet may spend, however many daemons there are.
+
+    Parameters
+    ----------
+    row_burst : float
+        Limit of the table for each daemon.
+    fleet_burst : float
+        Retries that all daemons together may save up, 0 for no limit.
+    daemons : int
+        Number of daemons in the fleet.
+
+    Returns
+    -------
+    float
+        At least 1, as a smaller budget would never allow a retry.
+    """
+    if not fleet_burst:
+        return row_burst
+    return max(1.0, min(row_burst, fleet_burst / max(daemons, 1)))
+
+
 class CrossRegionBudget:
     """Token bucket of the bytes that one service may exchange with other regions.
 
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -31,7 +31,11 @@
     Stop,
     Unanswered,
 )
-from chicorychute.routing.budget import CrossRegionBudget, RetryBudget
+from chicorychute.routing.budget import (
+    CrossRegionBudget,
+    RetryBudget,
+    burst_of_one,
+)
 from chicorychute.routing.candidates import (
     Candidate,
     Distance,
@@ -72,6 +76,8 @@
     ----------
     hub : callable
         Returns the hub of peer links, which is built after the entry.
+    fleet_retry_burst : float
+        Retries that all daemons together may save up for a service, 0 for no limit.
     """
 
     def __init__(
@@ -82,7 +88,9 @@
         hub: Callable[[], LinkHub],
         clock: Clock,
         rng: random.Random,
+        fleet_retry_burst: float = 0.0,
     ):
+        self._fleet_retry_burst = fleet_retry_burst
         self._gate = gate
         self._fleet = fleet
         self._exchanges = exchanges
@@ -209,11 +217,14 @@
 
     def _retry_budget(self, row: Row) -> RetryBudget:
         with self._lock:
+            burst = burst_of_one(
+                row.retry_burst, self._fleet_retry_burst, self._fleet.size()
+            )
             budget = self._retry_budget_by_service.get(row.service)
             if budget is None:
-                budget = RetryBudget(row.retry_burst)
+                budget = RetryBudget(burst)
                 self._retry_budget_by_service[row.service] = budget
-            budget.deposit(row.retry_share, row.retry_burst)
+            budget.deposit(row.retry_share, burst)
         return budget
 
     def _may_start(self, attempts: Attempts, choice: Choice) -> bool:
--- a/chicorychute/services/fleet.py
+++ b/chicorychute/services/fleet.py
@@ -68,6 +68,10 @@
         """Return the own record."""
         return self._view.own
 
+    def size(self) -> int:
+        """Return the number of known instances, the own included."""
+        return self._view.size
+
     def record_of(self, instance: str) -> MemberRecord | None:
         """Return the newest record of an instance, or None."""
         with self._lock:
--- a/tests/routing/test_attempts.py
+++ b/tests/routing/test_attempts.py
@@ -19,7 +19,7 @@
     Stop,
     Unanswered,
 )
-from chicorychute.routing.budget import MAX_SAVED_RETRIES, RetryBudget
+from chicorychute.routing.budget import MAX_SAVED_RETRIES, RetryBudget, burst_of_one
 from chicorychute.table.rows import Repeat
 
 DEADLINE_S = 10.0
@@ -130,3 +130,20 @@
             ):
                 break
     assert sends <= requests * (1 + retry_share) + MAX_SAVED_RETRIES
+
+
+# A failure that every daemon sees at once: the retries that each has saved up add up.
+# Daemons, and the retries that the platform allows all of them, from its site files and
+# a small twin of the largest.
+@pytest.mark.parametrize(
+    ("daemons", "fleet_burst"), [(24, 58), (30, 60), (94, 192), (235, 430), (27, 25)]
+)
+def test_all_daemons_together_save_up_no_more_than_the_fleet_may(daemons, fleet_burst):
+    burst = burst_of_one(2.0, fleet_burst, daemons)
+    budgets = [RetryBudget(burst) for _ in range(daemons)]
+    spent = sum(budget.withdraw() for budget in budgets for _ in range(5))
+    assert spent <= max(fleet_burst, daemons)
+
+
+def test_without_a_limit_of_the_fleet_the_row_decides():
+    assert burst_of_one(2.0, 0.0, 235) == 2.0
--- a/tests/services/interleaved.py
+++ b/tests/services/interleaved.py
@@ -283,6 +283,9 @@
     def hosts(self, service):
         return [self.record_of(name) for name in HOSTS]
 
+    def size(self):
+        return len(HOSTS) + 1
+
     def candidates(self, service):
         if self.name not in HOSTS:
             return []
--- a/tests/services/test_entry.py
+++ b/tests/services/test_entry.py
@@ -46,6 +46,9 @@
     def hosts(self, service):
         return self._hosts
 
+    def size(self):
+        return len(self._hosts) + 1
+
 
 class FakeHub:
     """Links whose peers answer at once, or refuse with the outcome in `end_by_host`."""
