Send to an upstream at risk only after queues and other regions

Cause: an upstream in a gray episode fails at once, so its slots are free while those of its neighbours are taken. A request without a further attempt was treated like one that can be sent again.

Change: gates that report a risk above the threshold come after a queue that meets the target and after other regions. A failure costs the full amount where no attempt, or no retry of the budget, is left behind it.

Measured: tests/routing fail without it.

--- a/chicorychute/health/gray.py
+++ b/chicorychute/health/gray.py
@@ -33,6 +33,9 @@
 # Fraction of the typical time of an answer. Failures of an episode come at once.
 QUICK_FAILURE_FRACTION = 0.25
 
+# Risk from which requests avoid an upstream: just above the long-run fraction of
+# failures of an idle one.
+RISK_THRESHOLD = 0.3
 # Time after a failure in which no success is expected without a trial. On recorded days
 # of the platform, few episodes last longer.
 UNPROVEN_S = 10.0
--- a/chicorychute/routing/attempts.py
+++ b/chicorychute/routing/attempts.py
@@ -112,6 +112,15 @@
         """Worst outcome of all attempts so far."""
         return self._worst_outcome
 
+    def is_next_final(self) -> bool:
+        """Return whether a failure of the next attempt ends the request."""
+        if self._repeat is not Repeat.IDEMPOTENT:
+            return True
+        if self.sent + 1 >= self._max_attempts:
+            return True
+        pays_next = self.sent > 0 and not self._retry_paid
+        return not self._budget.allows(2 if pays_next else 1)
+
     def try_start(self, now_s: float, predicted_s: float) -> bool:
         """Return whether an attempt may be sent, and count it if so.
 
--- a/chicorychute/routing/budget.py
+++ b/chicorychute/routing/budget.py
@@ -26,9 +26,13 @@
         """Credit one request with `retry_share` retries, up to `max_retries`."""
         self._tokens = min(self._tokens + retry_share, max_retries)
 
+    def allows(self, retries: int) -> bool:
+        """Return whether at least this number of retries is left."""
+        return self._tokens >= retries
+
     def withdraw(self) -> bool:
         """Take one retry; return False if less than one is left."""
-        if self._tokens < 1:
+        if not self.allows(1):
             return False
         self._tokens -= 1
         return True
--- a/chicorychute/routing/placement.py
+++ b/chicorychute/routing/placement.py
@@ -13,6 +13,10 @@
 In a large region an entry knows the load of its neighbours alone. The other gates of
 the region are asked once no neighbour can meet the target, before those of other
 regions: their load is not known, but they are near.
+
+An upstream in a gray episode fails at once, so its slots are free while those of its
+neighbours are taken. It is the last to be sent to, whatever its wait: after a queue in
+which the target can be met, and after other regions.
 """
 
 import math
@@ -23,6 +27,7 @@
 
 from chicorychute.core.messages import RankWait
 from chicorychute.core.outcomes import Reason
+from chicorychute.health.gray import RISK_THRESHOLD
 from chicorychute.routing.candidates import Candidate, Distance
 from chicorychute.routing.choice import Choice, NoChoice, choose, predict_ms
 
@@ -65,22 +70,18 @@
     ----------
     target_ms : float
         Time in which the answer is wanted.
-    failure_cost_ms : float
-        Cost of a failure, as time. An upstream at risk is chosen where all others are
-        later by more than its risk times this cost.
     """
 
     def __init__(
         self,
         rank: str,
         target_ms: float,
-        failure_cost_ms: float,
         outstanding_by_upstream: Mapping[str, int],
         rng: random.Random,
     ):
         self._rank = rank
         self._target_ms = target_ms
-        self._failure_cost_ms = failure_cost_ms
+        self._failure_cost_ms = 0.0
         self._outstanding_by_upstream = outstanding_by_upstream
         self._rng = rng
         self._report_by_upstream: dict[str, GateReport] = {}
@@ -94,8 +95,17 @@
         candidates: list[Candidate],
         remaining_ms: float,
         cross_region_allowed: bool,
+        failure_cost_ms: float = 0.0,
     ) -> SendTo | NoChoice:
-        """Return the next gate to send to, or why there is none."""
+        """Return the next gate to send to, or why there is none.
+
+        Parameters
+        ----------
+        failure_cost_ms : float
+            Cost of a failure of the next send, as time. An upstream at risk is chosen
+            where all others are later by more than its risk times this cost.
+        """
+        self._failure_cost_ms = failure_cost_ms
         usable = [c for c in candidates if c.digest.upstream not in self._excluded]
         unasked = [
             c for c in usable if c.digest.upstream not in self._report_by_upstream
@@ -108,8 +118,9 @@
                 self._same_region_asked += 1
                 return SendTo(neighbour_choice, may_wait=is_only_gate)
         asked_choice = self._choose_asked(usable, remaining_ms)
-        if asked_choice is not None and asked_choice.cost_ms <= self._target_ms:
-            return SendTo(asked_choice, may_wait=True)
+        sound_choice = self._choose_asked(usable, remaining_ms, max_risk=RISK_THRESHOLD)
+        if sound_choice is not None and sound_choice.cost_ms <= self._target_ms:
+            return SendTo(sound_choice, may_wait=True)
         if self._unknown_load_asked < MAX_UNKNOWN_LOAD_ASKED:
             unknown_load_choice = self._choose_unasked(
                 groups.unknown_load, remaining_ms
@@ -166,14 +177,17 @@
         return choice if choice.predicted_ms <= remaining_ms else None
 
     def _choose_asked(
-        self, candidates: list[Candidate], remaining_ms: float
+        self,
+        candidates: list[Candidate],
+        remaining_ms: float,
+        max_risk: float = 1.0,
     ) -> Choice | None:
-        """Return the cheapest asked gate, None if all are too late."""
+        """Return the cheapest asked gate up to a risk, None if all are too late."""
         best = None
         best_cost_ms = math.inf
         for candidate in candidates:
             report = self._report_by_upstream.get(candidate.digest.upstream)
-            if report is None:
+            if report is None or report.risk > max_risk:
                 continue
             waits = (RankWait(self._rank, report.wait_ms),)
             digest = attrs.evolve(candidate.digest, waits=waits)
--- a/chicorychute/services/entry.py
+++ b/chicorychute/services/entry.py
@@ -60,7 +60,7 @@
 from chicorychute.transport.links import LinkError, LinkHub
 
 # Cost of a certain failure in the choice of a gate, in target times of the row. It is
-# lower for a request that may be repeated, as its failure need not be final.
+# lower while the request may be sent once more, as its failure need not be final.
 FINAL_FAILURE_COST_TARGETS = 4.0
 REPEATED_FAILURE_COST_TARGETS = 1.0
 # A gate that refuses for these reports its wait; the request may still queue there.
@@ -129,10 +129,18 @@
         attempts = Attempts(
             row.repeat, budget, request.deadline_s, request.attempt, row.attempts
         )
-        placement = self._make_placement(row)
+        outstanding_by_upstream = self._outstanding_by_rank[row.rank]
+        placement = Placement(
+            row.rank, row.target_ms, outstanding_by_upstream, self._rng
+        )
         reply: Reply = Refused(Outcome.NOT_RUN, Reason.DEADLINE)
         while True:
-            send_to = self._next_gate(request, candidates, placement)
+            failure_cost_ms = row.target_ms * (
+                FINAL_FAILURE_COST_TARGETS
+                if attempts.is_next_final()
+                else REPEATED_FAILURE_COST_TARGETS
+            )
+            send_to = self._next_gate(request, candidates, placement, failure_cost_ms)
             if isinstance(send_to, NoChoice):
                 refused = Refused(Outcome.NOT_RUN, send_to.reason)
                 reply = reply if placement.has_asked else refused
@@ -170,20 +178,6 @@
             reply, outcome=attempts.outcome, retry_s=placement.min_wait_s()
         )
 
-    def _make_placement(self, row: Row) -> Placement:
-        failure_cost_ms = (
-            REPEATED_FAILURE_COST_TARGETS * row.target_ms
-            if row.repeat is Repeat.IDEMPOTENT
-            else FINAL_FAILURE_COST_TARGETS * row.target_ms
-        )
-        return Placement(
-            row.rank,
-            row.target_ms,
-            failure_cost_ms,
-            self._outstanding_by_rank[row.rank],
-            self._rng,
-        )
-
     def relay(self, request: Request, key: OrderKey) -> Reply:
         """Relay an order to its home."""
         record = self._fleet.record_of(key.home.instance)
@@ -233,7 +227,11 @@
             return attempts.try_start(now_s, choice.predicted_ms / 1000)
 
     def _next_gate(
-        self, request: Request, candidates: Iterable[Candidate], placement: Placement
+        self,
+        request: Request,
+        candidates: Iterable[Candidate],
+        placement: Placement,
+        failure_cost_ms: float,
     ) -> SendTo | NoChoice:
         row = request.row
         # Orders do not probe an ejected upstream for its return: 1.0 sends none.
@@ -245,7 +243,10 @@
                 row.cross_region_kbps
             )
         return placement.choose_next(
-            eligible_candidates, remaining_s * 1000, cross_region_allowed
+            eligible_candidates,
+            remaining_s * 1000,
+            cross_region_allowed,
+            failure_cost_ms,
         )
 
     def _cross_region_budget(self, service: str) -> CrossRegionBudget:
--- a/chicorychute/services/gate.py
+++ b/chicorychute/services/gate.py
@@ -26,7 +26,11 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.core.workers import WorkerPool
 from chicorychute.health.evidence import BYTES_UNKNOWN, Observation, Result
-from chicorychute.health.gray import QUICK_FAILURE_FRACTION, GrayEstimate
+from chicorychute.health.gray import (
+    QUICK_FAILURE_FRACTION,
+    RISK_THRESHOLD,
+    GrayEstimate,
+)
 from chicorychute.health.judge import Attempt, UpstreamJudge
 from chicorychute.health.probe import PROBE_RANK, PROBE_TIMEOUT_S, health_probe_request
 from chicorychute.pipeline.values import Answer, Refused, Reply
@@ -48,8 +52,6 @@
 from chicorychute.transport.upstream_end import UpstreamFailure
 
 POOL_THREADS = 256
-# Just above the long-run fraction of failures of an idle upstream.
-RISK_THRESHOLD = 0.3
 # An answer with one of these statuses should have a body.
 BODY_STATUSES = frozenset((200, 201, 203, 206))
 
--- a/tests/health/test_gray.py
+++ b/tests/health/test_gray.py
@@ -9,8 +9,7 @@
 import pytest
 
 from chicorychute.core.clock import ManualClock
-from chicorychute.health.gray import GrayEstimate
-from chicorychute.services.gate import RISK_THRESHOLD
+from chicorychute.health.gray import RISK_THRESHOLD, GrayEstimate
 
 
 @pytest.fixture
--- a/tests/routing/test_attempts.py
+++ b/tests/routing/test_attempts.py
@@ -147,3 +147,27 @@
 
 def test_without_a_limit_of_the_fleet_the_row_decides():
     assert burst_of_one(2.0, 0.0, 235) == 2.0
+
+
+# Attempts sent, attempts of the row, retries left, whether a failure would be final. A
+# request that is sent to an upstream at risk needs another attempt behind it.
+@pytest.mark.parametrize(
+    ("sent", "max_attempts", "retries", "is_final"),
+    [
+        (0, 1, 5, True),
+        (0, 2, 5, False),
+        (0, 2, 0, True),
+        (1, 2, 5, True),
+        (1, 3, 5, False),
+        (1, 3, 1, True),
+    ],
+)
+def test_next_attempt_is_final_where_no_other_may_follow(
+    sent, max_attempts, retries, is_final
+):
+    attempts = Attempts(
+        Repeat.IDEMPOTENT, RetryBudget(retries), DEADLINE_S, sent, max_attempts
+    )
+    assert attempts.is_next_final() is is_final
+    order = Attempts(Repeat.ONCE, RetryBudget(5), DEADLINE_S, sent)
+    assert order.is_next_final()
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -41,13 +41,19 @@
 
 
 def place(
-    candidates, report_by_gate, remaining_ms=REMAINING_MS, cross_region_allowed=True
+    candidates,
+    report_by_gate,
+    remaining_ms=REMAINING_MS,
+    cross_region_allowed=True,
+    failure_cost_ms=RISK_MS,
 ):
     """Return the sends of one request as (gate, may wait), and why it was refused."""
-    placement = Placement("r", TARGET_MS, RISK_MS, {}, random.Random(1))
+    placement = Placement("r", TARGET_MS, {}, random.Random(1))
     sends = []
     for _ in range(20):
-        result = placement.choose_next(candidates, remaining_ms, cross_region_allowed)
+        result = placement.choose_next(
+            candidates, remaining_ms, cross_region_allowed, failure_cost_ms
+        )
         if isinstance(result, NoChoice):
             return sends, result.reason
         name = result.choice.candidate.digest.upstream
@@ -179,3 +185,29 @@
     assert all(name.startswith("unknown") for name in names[3:-1])
     assert len(names[3:-1]) == MAX_UNKNOWN_LOAD_ASKED
     assert names[-1].startswith("other-region")
+
+
+AT_RISK = GateReport(0.0, 0.73)
+
+
+# A region of a calm day: two of its upstreams fail everything, their slots are free,
+# and the others are taken. Lookups went to one failing upstream, then to the other.
+@pytest.mark.parametrize("failure_cost_ms", [1000.0, 4000.0])
+def test_busy_gate_comes_before_a_free_one_at_risk(failure_cost_ms):
+    reports = {"a": AT_RISK, "b": AT_RISK, "c": BUSY}
+    sends, _ = place(SAME_REGION_GATES, reports, failure_cost_ms=failure_cost_ms)
+    assert sends[-1] == ("c", True)
+
+
+def test_other_region_comes_before_a_gate_at_risk():
+    reports = {"a": AT_RISK, "b": AT_RISK, "c": GateReport(2500.0, 0.02)}
+    sends, _ = place(
+        SAME_REGION_GATES + OTHER_REGION_GATES, reports, failure_cost_ms=1000.0
+    )
+    assert sends[-1][0].startswith("other-region")
+
+
+def test_gate_at_risk_is_used_where_no_other_is_left():
+    reports = dict.fromkeys("abc", AT_RISK)
+    sends, _ = place(SAME_REGION_GATES, reports)
+    assert sends[-1][1]
--- a/tests/services/test_gate.py
+++ b/tests/services/test_gate.py
@@ -21,10 +21,10 @@
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import PeerRequest
 from chicorychute.core.outcomes import Outcome, Reason
-from chicorychute.health.gray import UNPROVEN_S
+from chicorychute.health.gray import RISK_THRESHOLD, UNPROVEN_S
 from chicorychute.pipeline.values import Answer, AnswerBroken, Refused
 from chicorychute.services.abandoned import ABANDONED_LIMIT_S
-from chicorychute.services.gate import RISK_THRESHOLD, GateService
+from chicorychute.services.gate import GateService
 from chicorychute.table.parse import parse_table
 from chicorychute.telemetry.tracing import PassThroughTracing
 from chicorychute.transport.calls import UpstreamCall
