Bound what is read of an answer that never ends

Cause: the timeout of a socket limits each receive alone. An upstream or the platform that sent a byte now and then, or a status line, headers, interim answers, trailers or chunk sizes without end, was read for as long as it sent, and a body of the platform filled memory. A declared body or chunk of 99 GB ended the reader with MemoryError, and a late answer that broke off left its connection open while the error was kept.

Change: transport/bounded.py reads within a deadline for the whole answer and a number of bytes; the upstream client and both readers of the platform use it. A failed answer is closed together with its connection.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -13,6 +13,7 @@
 
 from chicorychute.admission.quarantine import Quarantine
 from chicorychute.conf.settings import Settings
+from chicorychute.core.clock import Clock
 from chicorychute.core.messages import (
     PROTOCOL_VERSION,
     AnswerChunk,
@@ -173,7 +174,7 @@
         self._telemetry = Instruments(instance, self._clock)
         self._exchanges = Exchanges(self._clock)
         self._dialect = _dialect(self._settings, self._own_service)
-        self._platform = _platform(self._settings)
+        self._platform = _platform(self._settings, self._clock)
         self._build_links(hello)
         self._build_fleet(hello)
         self._build_gate(hello)
@@ -567,16 +568,16 @@
         self._peers.on_closed(link)
 
 
-def _platform(settings: Settings) -> PlatformBackend | None:
+def _platform(settings: Settings, clock: Clock) -> PlatformBackend | None:
     factory_by_backend: dict[str, Callable[[], PlatformBackend | None]] = {
-        "http": lambda: HttpPlatform(settings.get("platform", "url")),
-        "mesh": lambda: _mesh_platform(settings),
+        "http": lambda: HttpPlatform(settings.get("platform", "url"), clock),
+        "mesh": lambda: _mesh_platform(settings, clock),
         "none": lambda: None,
     }
     return factory_by_backend[settings.get("platform", "backend")]()
 
 
-def _mesh_platform(settings: Settings) -> PlatformBackend:
+def _mesh_platform(settings: Settings, clock: Clock) -> PlatformBackend:
     from chicorychute.platform.backend import MeshPlatform
     from chicorychute.platform.store import StoreClient
     from chicorychute.platform.tables import PolicyValues
@@ -586,7 +587,7 @@
         settings.get("platform", "retry_burst"),
         settings.get("platform", "floor"),
     )
-    store = StoreClient(settings.get("platform", "url"))
+    store = StoreClient(settings.get("platform", "url"), clock)
     return MeshPlatform(store, settings.get("peer", "port"), policy)
 
 
--- a/chicorychute/platform/store.py
+++ b/chicorychute/platform/store.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 from urllib3.connection import HTTPConnection
 
+from chicorychute.core.clock import Clock
 from chicorychute.platform.wire import (
     StoreChanges,
     StoreItem,
@@ -18,6 +19,7 @@
 )
 from chicorychute.sources.base import PlatformError
 from chicorychute.telemetry.tally import Tally
+from chicorychute.transport.bounded import bounded_pool_manager
 
 # The store answers within milliseconds, from another region within 60 ms.
 CONNECT_TIMEOUT_S = 1.0
@@ -35,6 +37,8 @@
 )
 # A call fails if the store's host does not acknowledge its data within this time.
 UNACKED_TIMEOUT_MS = 1500
+# The pages of the store hold about 1 MB of values, which grow by a third as base64.
+MAX_ANSWER_BYTES = 16 << 20
 # One connection watches the upstreams, one the configuration.
 POOL_SIZE = 2
 NOT_FOUND = 404
@@ -54,7 +58,7 @@
         ``http://host:port``.
     """
 
-    def __init__(self, url: str):
+    def __init__(self, url: str, clock: Clock):
         self._url = url
         unacked_option = (
             socket.IPPROTO_TCP,
@@ -66,8 +70,12 @@
             *KEEPALIVE_OPTIONS,
             unacked_option,
         ]
-        self._pool = urllib3.PoolManager(
-            retries=False, maxsize=POOL_SIZE, socket_options=options
+        self._pool = bounded_pool_manager(
+            clock,
+            MAX_ANSWER_BYTES,
+            retries=False,
+            maxsize=POOL_SIZE,
+            socket_options=options,
         )
         self.calls = Tally()
 
--- a/chicorychute/sources/http.py
+++ b/chicorychute/sources/http.py
@@ -10,6 +10,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from chicorychute.core.clock import Clock
 from chicorychute.sources.base import (
     InstanceList,
     ListedInstance,
@@ -17,9 +18,12 @@
     PlatformError,
     TableDocument,
 )
+from chicorychute.transport.bounded import bounded_pool_manager
 
 READ_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
+# A table of 2,000 services takes about a tenth of this.
+MAX_ANSWER_BYTES = 64 << 20
 
 
 class HttpPlatform(PlatformBackend):
@@ -36,9 +40,9 @@
         Number of requests sent to the platform so far.
     """
 
-    def __init__(self, url: str):
+    def __init__(self, url: str, clock: Clock):
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = bounded_pool_manager(clock, MAX_ANSWER_BYTES, retries=False)
         self.reads = 0
 
     def watch_table(
--- a/chicorychute/transport/calls.py
+++ b/chicorychute/transport/calls.py
@@ -13,16 +13,22 @@
 import threading
 from collections.abc import Callable
 from http.client import HTTPConnection as PlainConnection
-from http.client import HTTPResponse
+from http.client import HTTPException, HTTPResponse
 from urllib.parse import urlsplit
 
 from urllib3.connection import HTTPConnection
 
+from chicorychute.core.clock import Clock
+from chicorychute.transport.bounded import MAX_HEAD_BYTES, BoundedReader, ReadLimits
+
 PROBE_CONNECT_TIMEOUT_S = 0.25
 # A body of up to this size is sent together with its head.
 MAX_JOINED_BODY_BYTES = 64 << 10
 # A process that ends resets its connections within less time.
 RESET_WAIT_S = 0.05
+# Limit of a late answer to an earlier request, which is read and discarded.
+MAX_LATE_ANSWER_BYTES = 1 << 20
+DISCARD_BYTES = 64 << 10
 
 _current = threading.local()
 
@@ -150,16 +156,26 @@
     putrequest = PlainConnection.putrequest
     putheader = PlainConnection.putheader
     _call: UpstreamCall | None = None
-    _read_timeout_s: float | None = None
+    _answer_timeout_s: float | None = None
     _pending_head = b""
     _joins_body = False
     _reader: _SharedReader | None = None
     _answer: HTTPResponse | None = None
 
-    def set_timeouts(self, connect_timeout_s: float, read_timeout_s: float) -> None:
-        """Set the timeouts for connecting and for each read, in seconds."""
+    def __init__(self, host: str, port: int, clock: Clock):
+        super().__init__(host, port)
+        self._clock = clock
+        self._limits = ReadLimits(clock)
+
+    def set_timeouts(self, connect_timeout_s: float, answer_timeout_s: float) -> None:
+        """Set the timeouts for connecting and for the whole answer, in seconds."""
         self.timeout = connect_timeout_s
-        self._read_timeout_s = read_timeout_s
+        self._answer_timeout_s = answer_timeout_s
+        self._limits.set_deadline(self._clock.monotonic() + answer_timeout_s)
+
+    def allow_body(self, byte_count: int) -> None:
+        """Allow the next read of a body, with the framing around it."""
+        self._limits.allow(byte_count + MAX_HEAD_BYTES)
 
     def request(
         self, method: str, target: str, body: bytes | None, headers: dict[str, str]
@@ -170,7 +186,7 @@
         self.detach_call()
         self._call = getattr(_current, "call", None)
         if self.sock is not None:
-            self.sock.settimeout(self._read_timeout_s)
+            self.sock.settimeout(self._answer_timeout_s)
             if self._call is not None:
                 self._call.attach(self.sock)
         PlainConnection.request(self, method, target, body, headers)
@@ -193,14 +209,15 @@
     def connect(self) -> None:
         """Connect for the current call."""
         super().connect()
-        self._reader = _SharedReader(self.sock.makefile("rb", buffering=0))
-        self.sock.settimeout(self._read_timeout_s)
+        self._reader = _SharedReader(BoundedReader(self.sock, self._limits))
+        self.sock.settimeout(self._answer_timeout_s)
         if self._call is not None:
             self._call.attach(self.sock)
 
     def getresponse(self) -> HTTPResponse:
         """Return the answer once its head has been read."""
         self.response_class = self._begin_answer
+        self._limits.allow(MAX_HEAD_BYTES)
         return PlainConnection.getresponse(self)
 
     def _begin_answer(self, sock: socket.socket, **options) -> HTTPResponse:
@@ -211,7 +228,9 @@
 
     def next_response(self) -> HTTPResponse:
         """Read the current answer to its end and return the next one."""
-        self._answer.read()
+        self._limits.allow(MAX_LATE_ANSWER_BYTES)
+        while self._answer.read1(DISCARD_BYTES):
+            pass
         if self._reader is None:
             raise ConnectionAbortedError("closed behind a stray answer")
         answer = self._begin_answer(self.sock, method=self._method)
@@ -223,10 +242,10 @@
 
         A connection that has failed counts as having some, so that it is not reused.
         """
-        self.sock.settimeout(0)
+        self._limits.stop_waiting()
         try:
             return bool(self._reader.peek(1))
-        except OSError:
+        except (HTTPException, OSError):
             return True
 
     def close(self) -> None:
@@ -244,6 +263,12 @@
             if self._answer is None or self._answer.isclosed():
                 reader.close()
 
+    def abort(self) -> None:
+        """Close the connection, and an answer that has not been read to its end."""
+        self.close()
+        if self._answer is not None:
+            self._answer.close()
+
 
 class _CallContext:
     """Context manager; a class costs each request less than a generator."""
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -106,7 +106,7 @@
                 answer.close()
                 raise failure
         except UpstreamFailure:
-            connection.close()
+            connection.abort()
             raise
 
         def close() -> None:
@@ -138,7 +138,7 @@
         return answer
 
     def _open(self) -> TrackedConnection:
-        return TrackedConnection(*self._address)
+        return TrackedConnection(*self._address, self._clock)
 
     def _acquire(self) -> TrackedConnection:
         """Return a connection that the upstream has not closed, or a new one."""
@@ -170,11 +170,16 @@
         release: Callable[[], None],
     ) -> Iterator[bytes]:
         try:
+            connection.allow_body(READ_BYTES)
             while data := answer.read1(READ_BYTES):
                 yield data
-                self._apply_deadline(deadline_s, connection)
+                self._check_deadline(deadline_s)
+                connection.allow_body(READ_BYTES)
             if answer.length:
                 raise IncompleteRead(b"", answer.length)
+        except TimeoutError as error:
+            close()
+            raise _missed_deadline() from error
         except (HTTPException, OSError) as error:
             close()
             detail = f"answer ended early ({error})"
@@ -186,20 +191,15 @@
             raise
         release()
 
-    def _apply_deadline(self, deadline_s: float, connection: TrackedConnection) -> None:
-        """Limit the next read to the time left until the deadline.
+    def _check_deadline(self, deadline_s: float) -> None:
+        """Raise UpstreamFailure if the deadline has passed."""
+        if self._clock.monotonic() >= deadline_s:
+            raise _missed_deadline()
 
-        Raises
-        ------
-        UpstreamFailure
-            If the deadline has passed.
-        """
-        remaining_s = deadline_s - self._clock.monotonic()
-        if remaining_s <= 0:
-            detail = "the answer did not end before the deadline"
-            raise UpstreamFailure(Outcome.UNKNOWN, Reason.DEADLINE, detail)
-        if connection.sock is not None:
-            connection.sock.settimeout(remaining_s)
+
+def _missed_deadline() -> UpstreamFailure:
+    detail = "the answer did not end before the deadline"
+    return UpstreamFailure(Outcome.UNKNOWN, Reason.DEADLINE, detail)
 
 
 def _forwarded_headers(received: Iterable[tuple[str, str]]) -> Headers:
--- a/tests/platform/test_backend.py
+++ b/tests/platform/test_backend.py
@@ -7,6 +7,7 @@
 import pytest
 import structlog
 
+from chicorychute.core.clock import ManualClock
 from chicorychute.platform.backend import MeshPlatform
 from chicorychute.platform.store import StoreClient
 from chicorychute.platform.tables import PolicyValues
@@ -25,7 +26,9 @@
 def platform(store):
     server = serve(store)
     yield MeshPlatform(
-        StoreClient(f"http://127.0.0.1:{server.bind_addr[1]}"), 7000, POLICY
+        StoreClient(f"http://127.0.0.1:{server.bind_addr[1]}", ManualClock()),
+        7000,
+        POLICY,
     )
     server.stop()
 
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -4,7 +4,6 @@
 an order that is sent twice because its connection broke.
 """
 
-import contextlib
 import socket
 import threading
 
@@ -15,59 +14,13 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.transport.calls import MAX_JOINED_BODY_BYTES, TrackedConnection
 from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
+from tests.transport.scripted_server import SERVER_TIMEOUT_S, ScriptedServer
 
-TIMEOUT_S = 20.0
+TIMEOUT_S = SERVER_TIMEOUT_S
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-class ScriptedServer:
-    """Runs the next script for each request: sends its bytes, calls its callables.
-
-    A connection stays open after an answer unless its script ends in None.
-    """
-
-    def __init__(self):
-        self.scripts = []
-        self.requests = []
-        self.connections = 0
-        self._server = socket.create_server(("127.0.0.1", 0))
-        self.port = self._server.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        self._server.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self._server.accept()
-                self.connections += 1
-                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock):
-        with contextlib.suppress(OSError), sock:
-            sock.settimeout(TIMEOUT_S)
-            while data := self._read(sock):
-                self.requests.append(data)
-                for step in self.scripts.pop(0):
-                    if step is None:
-                        return
-                    if callable(step):
-                        step()
-                    else:
-                        sock.sendall(step)
-
-    def _read(self, sock):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            more = sock.recv(65536)
-            if not more:
-                return b""
-            data += more
-        return data
-
-
 @pytest.fixture
 def server():
     running = ScriptedServer()
@@ -200,7 +153,7 @@
     [(0, 1), (1, 1), (MAX_JOINED_BODY_BYTES, 1), (MAX_JOINED_BODY_BYTES + 1, 2)],
 )
 def test_short_body_is_sent_together_with_its_head(size, sends):
-    connection = TrackedConnection("127.0.0.1", 80)
+    connection = TrackedConnection("127.0.0.1", 80, ManualClock())
     connection.sock = RecordingSocket()
     connection.request("POST", "/a", b"x" * size or None, {"a": "b"})
     sent = connection.sock.sent
