Bring every stale page of the first list up to date

Cause: a starting daemon reads the list by stale pages and then the changes since the newest entry of the first page. Each page may be of another age: an upstream that left before that entry, and that a later, older page still had, stayed in use after a restart until its entry changed again.

Change: the changes are read since the oldest of the pages' newest entries.

Measured: tests/platform/test_backend.py, with a stand-in whose second page is older than the first, fails without it.

--- a/chicorychute/platform/backend.py
+++ b/chicorychute/platform/backend.py
@@ -90,15 +90,18 @@
     def _read_first(self) -> Result[None, PlatformError]:
         """Read every entry by stale reads, then all changes since.
 
-        Stale reads cost a tenth and may be seconds old. The changes since the newest
-        entry of the first page bring them up to date; nothing is used before.
+        Stale reads cost a tenth and may be seconds old, each page by another time. A
+        page is no older than its newest entry, so the changes since the oldest such
+        time bring all of them up to date; nothing is used before.
         """
         match self._store.items(UPSTREAM_PREFIX, allow_stale=True):
             case Err(error):
                 return Err(error)
             case Ok(pages):
                 mirror = UpstreamMirror(pages)
-        mirror.revision = max((item.mod_revision for item in pages[0].items), default=0)
+        mirror.revision = min(
+            max((item.mod_revision for item in page.items), default=0) for page in pages
+        )
         match self._apply_changes(mirror, 0.0):
             case Err(HistoryGone()):
                 return self._read_upstreams()
--- a/standins/store.py
+++ b/standins/store.py
@@ -50,6 +50,7 @@
         self.calls: list[str] = []
         self.stale_calls = 0
         self._stale_item_by_key: dict[str, dict] | None = None
+        self._stale_from_key = ""
 
     def put(self, key: str, value: object) -> int:
         """Write a value, as JSON unless it is bytes; return the new revision."""
@@ -84,10 +85,11 @@
             self.faults.oldest_known_revision = self._revision + 1
             self._events.clear()
 
-    def freeze_stale_reads(self) -> None:
-        """Answer stale reads with the present items from now on."""
+    def freeze_stale_reads(self, from_key: str = "") -> None:
+        """Answer stale reads that begin at `from_key` with the present items."""
         with self._changed:
             self._stale_item_by_key = dict(self._item_by_key)
+            self._stale_from_key = from_key
 
     def __call__(self, environ, start_response):
         """Answer one HTTP request."""
@@ -118,7 +120,12 @@
     def _list_range(self, query):
         with self._changed:
             item_by_key = self._item_by_key
-            if query.get("allow_stale") == "1" and self._stale_item_by_key is not None:
+            is_stale = (
+                query.get("allow_stale") == "1"
+                and self._stale_item_by_key is not None
+                and query.get("after", "") >= self._stale_from_key
+            )
+            if is_stale:
                 item_by_key = self._stale_item_by_key
             keys = sorted(
                 key
--- a/tests/platform/test_backend.py
+++ b/tests/platform/test_backend.py
@@ -121,6 +121,23 @@
     assert store.calls.count("kv-range") == reads
 
 
+def test_upstream_that_a_stale_page_still_lists_is_not_used(store):
+    # A restarted daemon reads pages of different age: the first one is new, the
+    # second one still has an upstream that left before the newest entry of the first.
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    store.put("servers/b", make_registration("10.0.0.2:80"))
+    store.put("servers/c", make_registration("10.0.0.3:80"))
+    store.freeze_stale_reads(from_key="servers/a")
+    store.remove("servers/c")
+    store.put("servers/a", make_registration("10.0.0.1:80"))
+    store._page_size = 1
+    server = serve(store)
+    client = StoreClient(f"http://127.0.0.1:{server.bind_addr[1]}", ManualClock())
+    listed = MeshPlatform(client, 7000, POLICY).read_instances().ok_value.instances
+    server.stop()
+    assert sorted(item.host for item in listed) == ["10.0.0.1", "10.0.0.2"]
+
+
 def test_upstreams_are_listed_again_after_the_store_dropped_its_history(
     store, platform
 ):
