Reject entries of the store that no message to a peer can hold

Cause: any writer may put an entry into the store. Numbers above 63 bits, an infinite duration and half a surrogate pair passed the parser; the daemon that reads the list for its zone relays such an entry, and its peers close the link at it or it can't be encoded. A port such as a superscript two, items or events that are no list, and deeply nested JSON ended the reader's task with another exception than the one it handles.

Change: whole numbers up to 2**53, durations of at most 15 digits, text that can be encoded, an IPv4 address with a port; lists are checked; nesting is malformed JSON.

--- a/chicorychute/platform/wire.py
+++ b/chicorychute/platform/wire.py
@@ -1,6 +1,7 @@
 """Parses the platform's JSON into types with descriptive field names."""
 
 import base64
+import ipaddress
 import json
 import re
 from collections.abc import Iterator
@@ -15,7 +16,13 @@
 MS_BY_UNIT = {"ms": 1.0, "s": 1000.0}
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
-_match_duration = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)").fullmatch
+MAX_PORT = 65535
+# Largest whole number that every JSON implementation represents exactly. Messages to
+# peers hold none above 63 bits.
+MAX_WHOLE_NUMBER = 2**53
+
+_match_duration = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,15})?)(ms|s)").fullmatch
+_match_port = re.compile(r"[0-9]{1,5}").fullmatch
 _match_version = re.compile(r"r([0-9]{1,18})").fullmatch
 
 
@@ -185,7 +192,7 @@
     body = _json_object(data)
     items = []
     unreadable = []
-    for raw_item in body.get("items", []):
+    for raw_item in _list(body, "items"):
         try:
             items.append(_item(raw_item))
         except WireError:
@@ -204,7 +211,7 @@
 def read_changes(data: bytes) -> StoreChanges:
     """Parse the answer to a watch."""
     body = _json_object(data)
-    changes = tuple(_change(event) for event in body.get("events", []))
+    changes = tuple(_change(event) for event in _list(body, "events"))
     return StoreChanges(changes, _non_negative_int(body, "current_rev"))
 
 
@@ -249,20 +256,12 @@
     state = status.get("state")
     if not isinstance(state, str) or state not in IS_LEAVING_BY_STATE:
         raise WireError(f"state {state!r:.80} is unknown", "write ready or draining")
-    started_ms = body.get("born", 0)
-    if type(started_ms) is not int:
-        raise WireError(
-            f"born is {started_ms!r:.80}, not a whole number",
-            "write it in milliseconds of Unix time",
-        )
+    started_ms = _non_negative_int(body, "born") if "born" in body else 0
     _non_negative_int(status, "seq")
-    address = _required_text(body, "address")
-    if not address.rpartition(":")[2].isdigit():
-        raise WireError(f"address {address!r:.80} has no port", "write host:port")
     return UpstreamEntry(
         item.key.removeprefix(UPSTREAM_PREFIX),
         _required_text(info, "service"),
-        address,
+        _required_address(body),
         _required_text(info, "zone"),
         _non_negative_int(info, "slots"),
         IS_LEAVING_BY_STATE[state],
@@ -344,7 +343,7 @@
 def _json_object(data: bytes) -> dict[str, Any]:
     try:
         body = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WireError(f"not JSON ({error})", "write a JSON object") from error
     if not isinstance(body, dict):
         raise WireError(
@@ -370,14 +369,55 @@
             f"{name} is missing, empty or not text (got {value!r:.80})",
             "add it as text",
         )
+    if not _is_unicode(value):
+        raise WireError(
+            f"{name} has half of a surrogate pair (got {value!a:.80})",
+            "write characters above U+FFFF as pairs",
+        )
+    return value
+
+
+def _is_unicode(text: str) -> bool:
+    """Return whether a text can be encoded; JSON may escape half a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _required_address(body: dict[str, Any]) -> str:
+    address = _required_text(body, "address")
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise WireError(
+            f"address {address!r:.80} has no IPv4 address", "write it as 10.0.0.1:80"
+        ) from error
+    if not _match_port(port) or not 0 < int(port) <= MAX_PORT:
+        raise WireError(
+            f"address {address!r:.80} has no port", "write it as 10.0.0.1:80"
+        )
+    return address
+
+
+def _list(body: dict[str, Any], name: str) -> list[Any]:
+    """Return a list, empty if it is missing."""
+    value = body.get(name, [])
+    if not isinstance(value, list):
+        raise WireError(
+            f"{name} is {type(value).__name__}, not a list",
+            "correct what the store serves",
+        )
     return value
 
 
 def _non_negative_int(body: dict[str, Any], name: str) -> int:
     value = body.get(name)
-    if type(value) is not int or value < 0:
+    if type(value) is not int or not 0 <= value <= MAX_WHOLE_NUMBER:
         raise WireError(
-            f"{name} is missing or not a whole number (got {value!r:.80})",
+            f"{name} is missing or no whole number up to 2**53 (got {value!r:.80})",
             "add it as a whole number of at least 0",
         )
     return value
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -1,8 +1,9 @@
 """Parsing of the platform's JSON, and conversion into the operators' table.
 
 Any writer can put malformed values into the store. They must raise `WireError`
-rather than be accepted or end in another exception. Rows must not depend on the
-order of the routes, and ranks must stay when a timeout changes.
+rather than be accepted or end in another exception. An accepted value is sent to
+peers, which close the link at a number or text that no message can hold. Rows must not
+depend on the order of the routes, and ranks must stay when a timeout changes.
 """
 
 import json
@@ -14,7 +15,9 @@
     StoreItem,
     WireError,
     duration_ms,
+    read_changes,
     read_config,
+    read_page,
     read_upstream,
 )
 from chicorychute.table.parse import parse_table
@@ -133,6 +136,21 @@
         "10.0.0.1:80", info={"service": "s", "zone": "z", "slots": True}
     ),
     "list": [],
+    "start before the epoch": make_registration("10.0.0.1:80", born=-1),
+    "start too large for a message": make_registration("10.0.0.1:80", born=2**64),
+    "slots too large for a message": make_registration(
+        "10.0.0.1:80", info={"service": "s", "zone": "z", "slots": 10**30}
+    ),
+    "infinite duration": make_registration(
+        "10.0.0.1:80",
+        status={"state": "ready", "seq": 1, "cold_left": "9" * 400 + "s"},
+    ),
+    "half a surrogate pair": make_registration(
+        "10.0.0.1:80", info={"service": "\ud800", "zone": "z", "slots": 4}
+    ),
+    "port that is no decimal digit": make_registration("10.0.0.1:\u00b2"),
+    "port out of range": make_registration("10.0.0.1:65536"),
+    "name for an address": make_registration("host.example:80"),
 }
 
 
@@ -142,7 +160,18 @@
         read_upstream(StoreItem("servers/x", json.dumps(body).encode(), 1))
 
 
-@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"{", b"null"])
+DEEP = b'{"a":' * 100_000
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"{", b"null", DEEP])
 def test_value_that_is_not_a_json_object_is_rejected(data):
     with pytest.raises(WireError):
         read_upstream(StoreItem("servers/x", data, 1))
+
+
+@pytest.mark.parametrize("value", [None, 5, "text", {"a": 1}])
+def test_pages_and_changes_without_a_list_are_rejected(value):
+    with pytest.raises(WireError):
+        read_page(json.dumps({"items": value, "current_rev": 1}).encode())
+    with pytest.raises(WireError):
+        read_changes(json.dumps({"events": value, "current_rev": 1}).encode())
