Send every recall of a link that broke, and each over one queue for its peer

Cause: a daemon keeps at most four messages for one peer until they are sent and drops the others, since a later round repeats them. Recalls used the same way. When connections are reset, all requests in flight on a link are recalled within one tick, to the peer whose link is only being opened again: beyond four they were dropped in the daemon itself, and counted as sent. A lookup has one recall, an order three, before it ends as unknown. Also, another exception than a failed link vanished in the pool.

Change: Senders.send_unrepeated lets them wait in order for the threads of their peer, at most 1,024; they are given up together if the link fails. Exceptions are logged.

--- a/chicorychute/services/recalls.py
+++ b/chicorychute/services/recalls.py
@@ -131,7 +131,7 @@
         if record is None:
             logger.warning("fleet: a recall names an unknown instance", peer=instance)
             return
-        self._senders.send((record.host, record.peer_port), message)
+        self._senders.send_unrepeated((record.host, record.peer_port), message)
 
     def _log_step(self, event: str, exchange: Exchange, **fields: str) -> None:
         link_liveness = exchange.link.liveness
--- a/chicorychute/services/senders.py
+++ b/chicorychute/services/senders.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import threading
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -11,8 +12,11 @@
 from chicorychute.transport.links import Link, LinkError, LinkHub
 
 SENDER_THREADS = 8
-# Further messages are dropped; a later round repeats them.
+# Threads that may wait for one destination. Further messages that a later round repeats
+# are dropped.
 QUEUED_PER_DESTINATION_LIMIT = 4
+# Further messages that nothing repeats, as many as requests in flight on one link.
+UNREPEATED_PER_DESTINATION_LIMIT = 1024
 
 Address = tuple[str, int]
 
@@ -33,6 +37,7 @@
         self._pool = ThreadPoolExecutor(SENDER_THREADS, thread_name_prefix="sender")
         self._lock = threading.Lock()
         self._queued_by_destination: dict[object, int] = {}
+        self._waiting_by_destination: dict[object, deque[Callable[[], None]]] = {}
 
     def send(
         self,
@@ -40,9 +45,26 @@
         message: Message,
         on_failure: Callable[[], None] = lambda: None,
     ) -> None:
-        """Send a message to an address; calls `on_failure` if the link fails."""
+        """Send a message that a later round repeats.
+
+        It is dropped if others wait for the same address. `on_failure` is called if
+        the link fails.
+        """
         self._submit(address, lambda: self._hub().link_to(address), message, on_failure)
 
+    def send_unrepeated(self, address: Address, message: Message) -> None:
+        """Send a message once those before it to the same address are sent.
+
+        It is dropped only if the link fails.
+        """
+        self._submit(
+            address,
+            lambda: self._hub().link_to(address),
+            message,
+            lambda: None,
+            waits=True,
+        )
+
     def reply(self, link: Link, message: Message) -> None:
         """Send a reply over the link that the peer's message came on."""
         self._submit(link, lambda: link, message, lambda: None)
@@ -51,6 +73,11 @@
         """Send a refusal; it is never dropped, as no later message repeats it."""
         self._pool.submit(self._refuse, link, refusal)
 
+    def is_busy(self, destination: object) -> bool:
+        """Return whether a message to a link or an address has not been sent yet."""
+        with self._lock:
+            return destination in self._queued_by_destination
+
     def _refuse(self, link: Link, refusal: Refusal) -> None:
         with contextlib.suppress(LinkError):
             link.send(refusal)
@@ -61,26 +88,49 @@
         open_link: Callable[[], Link],
         message: Message,
         on_failure: Callable[[], None],
+        waits: bool = False,
     ) -> None:
-        with self._lock:
-            queued = self._queued_by_destination.get(destination, 0)
-            if queued >= QUEUED_PER_DESTINATION_LIMIT:
-                return
-            self._queued_by_destination[destination] = queued + 1
-
         def run() -> None:
             try:
                 open_link().send(message)
             except LinkError as error:
-                logger.debug("fleet: message was not sent", error=str(error))
+                given_up = self._give_up_waiting(destination)
+                logger.debug(
+                    "fleet: message was not sent", error=str(error), given_up=given_up
+                )
                 on_failure()
+            except Exception:
+                # The pool would discard it.
+                logger.exception("fleet: a sender failed")
             finally:
-                self._release(destination)
+                self._finish(destination)
 
-        self._pool.submit(run)
+        with self._lock:
+            queued = self._queued_by_destination.get(destination, 0)
+            if queued < QUEUED_PER_DESTINATION_LIMIT:
+                self._queued_by_destination[destination] = queued + 1
+                self._pool.submit(run)
+                return
+            waiting = self._waiting_by_destination.setdefault(destination, deque())
+            is_full = len(waiting) >= UNREPEATED_PER_DESTINATION_LIMIT
+            if waits and not is_full:
+                waiting.append(run)
+        if waits and is_full:
+            logger.warning("fleet: too many messages wait for a peer; one is dropped")
+
+    def _give_up_waiting(self, destination: object) -> int:
+        """Drop what waits for a destination whose link failed; return the number."""
+        with self._lock:
+            return len(self._waiting_by_destination.pop(destination, ()))
 
-    def _release(self, destination: object) -> None:
+    def _finish(self, destination: object) -> None:
+        """Send the next message that waits, or release the place of the one sent."""
         with self._lock:
+            waiting = self._waiting_by_destination.get(destination)
+            if waiting:
+                self._pool.submit(waiting.popleft())
+                return
+            self._waiting_by_destination.pop(destination, None)
             self._queued_by_destination[destination] -= 1
             if not self._queued_by_destination[destination]:
                 del self._queued_by_destination[destination]
--- a/tests/services/interleaved.py
+++ b/tests/services/interleaved.py
@@ -276,7 +276,7 @@
     def mark_unreachable(self, instance):
         pass
 
-    def send(self, address, message):
+    def send_unrepeated(self, address, message):
         with contextlib.suppress(LinkError):
             self.link_to(address).send(message)
 
