Take the table in force, read again after an outage, for no failure

Cause: after a failed read the platform's configuration is read again. Where it had not changed, the daemon logged that the platform gave an older version than the known one, and counted a failure: the next wait for a table began up to a second later.

Change: the version in force is checked for another content and awaited again after 250 ms.

--- a/chicorychute/services/tables.py
+++ b/chicorychute/services/tables.py
@@ -30,6 +30,8 @@
 WATCH_TIMEOUT_S = 20.0
 # Time after which a daemon that does not read checks whether it has to.
 READER_CHECK_S = 0.5
+# Pause after a read that gave the table in force, for a platform that does not wait.
+SAME_TABLE_PAUSE_S = 0.25
 
 logger = structlog.get_logger()
 
@@ -114,6 +116,11 @@
                 self._pace.record_success()
                 self._offer(document.version, document.text, None)
                 return True
+            case Ok(document) if document.version == known_version:
+                # The first read after a failed one gives the table in force.
+                self._pace.postpone(SAME_TABLE_PAUSE_S)
+                self._offer(document.version, document.text, None)
+                return False
             case Ok(document):
                 self._pace.record_failure()
                 logger.warning(
