--- a/chicorychute/services/senders.py
+++ b/chicorychute/services/senders.py
@@ -73,11 +73,6 @@
         """Send a refusal; it is never dropped, as no later message repeats it."""
         self._pool.submit(self._refuse, link, refusal)
 
-    def is_busy(self, destination: object) -> bool:
-        """Return whether a message to a link or an address has not been sent yet."""
-        with self._lock:
-            return destination in self._queued_by_destination
-
     def _refuse(self, link: Link, refusal: Refusal) -> None:
         with contextlib.suppress(LinkError):
             link.send(refusal)
@@ -100,7 +95,7 @@
                 )
                 on_failure()
             except Exception:
-                # The pool would discard it.
+                # The pool keeps it in a future that nobody reads.
                 logger.exception("fleet: a sender failed")
             finally:
                 self._finish(destination)
--- a/tests/services/test_senders.py
+++ b/tests/services/test_senders.py
@@ -91,7 +91,7 @@
         senders.send_unrepeated(BUSY, Cancel(number))
     hub.opened.set()
     hub.wait_for(lambda: hub.attempts == QUEUED_PER_DESTINATION_LIMIT)
-    hub.wait_for(lambda: not senders.is_busy(BUSY))
+    hub.wait_for(lambda: BUSY not in senders._queued_by_destination)
     senders.send_unrepeated(BUSY, Cancel(MANY))
     hub.wait_for(lambda: hub.sent == [Cancel(MANY)])
 
