Run requests that a caller sends ahead at the same time, and none behind a close

Cause: requests of one connection were read one after the other, each after the answer before it. A slow lookup delayed those sent behind it, and their time limit began only then, so that upstreams got more time than their callers had left. A leaving daemon answered with 'Connection: close' and went on to run what stood behind that answer, which its caller takes as not read and sends again. Change: once the route of a repeatable request is known, the next request of its connection is read, up to eight in flight; answers leave in the order of the requests. Others run alone on their connection. An answer that closes is the last one: nothing behind it is started, what runs ahead is answered first, and input is read on for a while, since a close with unread input resets the connection.

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -322,6 +322,7 @@
                 log_end(clock, lambda: self._tables.version),
                 self._home.confirm_not_run,
                 filters.route(self._tables.routes),
+                filters.in_turn,
                 self._permits.filter,
                 self._leaving.refuse_new,
                 filters.deadline(clock),
--- a/chicorychute/pipeline/filters.py
+++ b/chicorychute/pipeline/filters.py
@@ -1,4 +1,4 @@
-"""Filters before dispatch: tracing, route and deadline."""
+"""Filters before dispatch: tracing, route, order of a connection, and deadline."""
 
 from collections.abc import Callable
 
@@ -6,6 +6,7 @@
 from chicorychute.core.outcomes import Outcome, Reason
 from chicorychute.pipeline.values import Filter, Handler, Refused, Reply, Request
 from chicorychute.table.routes import RouteIndex
+from chicorychute.table.rows import Repeat
 from chicorychute.telemetry.tracing import Tracing
 
 
@@ -42,6 +43,25 @@
     return make
 
 
+def in_turn(handler: Handler) -> Handler:
+    """Run requests of one connection at the same time only if they are repeatable.
+
+    Load pattern: a caller that sends requests ahead. It sends all those again that
+    stand behind an answer which closes the connection, so one that must not run twice
+    starts only once the earlier ones are answered, and nothing starts ahead of it.
+    """
+
+    def run(request: Request) -> Reply:
+        if request.row.repeat is Repeat.IDEMPOTENT:
+            request.turn.read_ahead()
+        elif not request.turn.wait():
+            detail = "an earlier answer closed the connection"
+            return Refused(Outcome.NOT_RUN, Reason.CANCELLED, detail)
+        return handler(request)
+
+    return run
+
+
 def deadline(clock: Clock) -> Filter:
     """Set the deadline of the row, or the caller's own if that is sooner."""
 
--- a/chicorychute/pipeline/values.py
+++ b/chicorychute/pipeline/values.py
@@ -96,6 +96,30 @@
     end: str
 
 
+class ConnectionTurn(Protocol):
+    """Place of a request among those that its caller sent on the same connection."""
+
+    def wait(self) -> bool:
+        """Wait for the answers of earlier requests; return whether its own may follow.
+
+        It may not if one of them closes the connection.
+        """
+
+    def read_ahead(self) -> None:
+        """Let the next request run before this one is answered."""
+
+
+class OnlyTurn:
+    """Turn of a request with no other on its connection."""
+
+    def wait(self) -> bool:
+        """Return True at once."""
+        return True
+
+    def read_ahead(self) -> None:
+        """Do nothing, as no request follows."""
+
+
 @attrs.define
 class Request:
     """One request at its entry.
@@ -129,6 +153,8 @@
         Sends to gates so far.
     stopped_by : str
         Why no further gate was tried, for the logs.
+    turn : ConnectionTurn
+        Place among the requests of its caller's connection.
     """
 
     method: str
@@ -152,6 +178,7 @@
     may_wait: bool = True
     attempt_records: list[AttemptRecord] = attrs.field(factory=list)
     stopped_by: str = ""
+    turn: ConnectionTurn = attrs.field(factory=OnlyTurn)
 
     @property
     def path(self) -> str:
--- a/chicorychute/transport/callers.py
+++ b/chicorychute/transport/callers.py
@@ -16,34 +16,45 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._scope_by_fd: dict[int, CancelScope] = {}
+        # A connection has several requests if its caller sends some ahead.
+        self._scopes_by_fd: dict[int, list[CancelScope]] = {}
 
     @contextlib.contextmanager
     def watching(self, sock: socket.socket, scope: CancelScope) -> Iterator[None]:
         """Watch a caller's connection while its request is handled."""
         fd = sock.fileno()
         with self._lock:
-            self._scope_by_fd[fd] = scope
+            self._scopes_by_fd.setdefault(fd, []).append(scope)
         try:
             yield
         finally:
             with self._lock:
-                self._scope_by_fd.pop(fd, None)
+                self._remove(fd, scope)
 
     def idle(self) -> bool:
         """Return whether no request is being handled."""
-        return not self._scope_by_fd
+        return not self._scopes_by_fd
 
     def poll(self) -> None:
-        """Cancel the request of each caller that has disconnected."""
+        """Cancel the requests of each caller that has disconnected."""
         poller = select.poll()
         with self._lock:
-            scope_by_fd = dict(self._scope_by_fd)
-        for fd in scope_by_fd:
+            scopes_by_fd = {fd: list(s) for fd, s in self._scopes_by_fd.items()}
+        for fd in scopes_by_fd:
             poller.register(fd, CLOSED_EVENTS)
         for fd, _ in poller.poll(0):
-            with self._lock:
-                if self._scope_by_fd.get(fd) is not scope_by_fd[fd]:
-                    continue
-                del self._scope_by_fd[fd]
-            scope_by_fd[fd].cancel()
+            for scope in scopes_by_fd[fd]:
+                with self._lock:
+                    is_watched = self._remove(fd, scope)
+                if is_watched:
+                    scope.cancel()
+
+    def _remove(self, fd: int, scope: CancelScope) -> bool:
+        """Stop watching for a request; return whether it was still watched for."""
+        scopes = self._scopes_by_fd.get(fd, [])
+        if scope not in scopes:
+            return False
+        scopes.remove(scope)
+        if not scopes:
+            del self._scopes_by_fd[fd]
+        return True
--- a/chicorychute/transport/edge.py
+++ b/chicorychute/transport/edge.py
@@ -22,9 +22,9 @@
 from chicorychute.transport.callers import CallerWatch
 from chicorychute.transport.dialect import Dialect
 from chicorychute.transport.edge_connections import MAX_BUFFERED_BYTES, EdgeHttpServer
+from chicorychute.transport.edge_exchange import EdgeConnection, ExchangeTurn
 from chicorychute.transport.edge_request import (
     ABORT_DETAILS,
-    EdgeConnection,
     EdgeGateway,
     EdgeRequest,
 )
@@ -120,6 +120,8 @@
             raise ValueError("the target holds a character that must be %-encoded")
         body = self._received_body(environ)
         caller_headers = self.dialect.parse_headers(environ)
+        edge_request: EdgeRequest = environ["chute.request"]
+        turn = ExchangeTurn(edge_request.conn, reads_ahead=self._serving())
         return Request(
             environ["REQUEST_METHOD"],
             target,
@@ -130,8 +132,10 @@
             caller_headers.traceparent,
             received_s,
             asked_ms=caller_headers.asked_ms,
+            scope=turn.scope,
             id=caller_headers.id,
             host=caller_headers.host,
+            turn=turn,
         )
 
     def _received_body(self, environ: dict) -> bytes:
@@ -142,13 +146,20 @@
             raise ValueError("the body ended early")
         return received.body
 
+    def _closing_state(self, environ: dict) -> tuple[str, bool]:
+        """Return the home to name, and whether the connection stays open.
+
+        A daemon that leaves closes it with the last answer of those that are due.
+        """
+        if self._serving():
+            return self._home(), True
+        edge_request: EdgeRequest = environ["chute.request"]
+        return "", not edge_request.try_close()
+
     def _refuse(
         self, refused: Refused, environ: dict, start_response: Callable
     ) -> list[bytes]:
-        keeps_serving = self._serving()
-        response = self.dialect.refusal(
-            refused, self._home() if keeps_serving else "", keeps_serving
-        )
+        response = self.dialect.refusal(refused, *self._closing_state(environ))
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         start_response(f"{response.status} {response.phrase}", headers)
         return [] if environ["REQUEST_METHOD"] == "HEAD" else [response.body]
@@ -165,9 +176,8 @@
         except AnswerBroken as error:
             refused = Refused(Outcome.UNKNOWN, Reason.UPSTREAM_LOST, str(error))
             return self._refuse(refused, environ, start_response)
-        keeps_serving = self._serving()
-        home = self._home() if keeps_serving else ""
-        headers = list(self.dialect.answer_headers(answer, home, keeps_serving))
+        home, keeps_open = self._closing_state(environ)
+        headers = list(self.dialect.answer_headers(answer, home, keeps_open))
         if answer.length >= 0:
             headers.append(("Content-Length", str(answer.length)))
         start_response(f"{answer.status} {_phrase(answer.status)}", headers)
--- a/chicorychute/transport/edge_connections.py
+++ b/chicorychute/transport/edge_connections.py
@@ -1,13 +1,15 @@
-"""Callers' connections while no thread serves them.
+"""Callers' connections while they wait for requests.
 
-One thread watches them all. It receives bytes without blocking and dispatches a
-connection to a serving thread once the request is complete, so a slow sender costs
-a socket and the bytes that it sent, but no thread.
+One thread watches them all. It receives bytes without blocking and hands a request to
+a serving thread once it is complete, so a slow sender costs a socket and the bytes
+that it sent, but no thread.
 """
 
 import contextlib
+import math
 import os
 import selectors
+import socket
 import threading
 
 from cheroot.connections import ConnectionManager
@@ -17,6 +19,7 @@
 from chicorychute.core.outcomes import Reason
 from chicorychute.core.workers import WorkerPool
 from chicorychute.transport.dialect import Dialect
+from chicorychute.transport.edge_exchange import EdgeConnection, EdgeExchange
 
 # Limit of waiting connections; above it the one that has waited longest is evicted.
 MAX_CONNECTIONS = 4096
@@ -24,6 +27,8 @@
 MAX_BUFFERED_BYTES = 64 << 20
 RECEIVE_BYTES = 64 << 10
 EXPIRY_INTERVAL_S = 0.2
+# Requests of one connection that may be in flight at a time. Each holds a thread.
+MAX_REQUESTS_IN_FLIGHT = 8
 # Limits for reading on after a refusal, so that the sender gets it before the close.
 LINGER_S = 1.0
 LINGER_BYTES = 4 << 20
@@ -45,31 +50,102 @@
 
 
 class EdgeConnections(ConnectionManager):
-    """Receives requests on the connections that no thread serves."""
+    """Receives the requests of all connections, also ahead of the answers.
+
+    One party at a time may read from a connection: this thread, or the thread of a
+    request once it is known where the next one begins. Sockets are closed by whoever
+    is the last to use them.
+    """
 
     def __init__(self, server: "EdgeHttpServer"):
         super().__init__(server)
         self._clock = server.clock
 
-    def put(self, conn) -> None:
-        """Wait for the next request on a connection that has been answered."""
+    def read_ahead(self, exchange: EdgeExchange) -> None:
+        """Wait for the next request while this one is served, within the limit."""
+        conn = exchange.connection
+        if not exchange.is_framed or exchange.has_read_ahead or not self.server.ready:
+            return
+        if conn.order.pending < MAX_REQUESTS_IN_FLIGHT:
+            exchange.has_read_ahead = True
+            self._read_next(conn)
+
+    def end(self, exchange: EdgeExchange, keeps_open: bool) -> None:
+        """Record the end of an answer; read on, or close the connection."""
+        conn = exchange.connection
+        keeps_open = keeps_open and self.server.ready
+        if conn.order.end(exchange.turn, keeps_open):
+            self._begin_close(conn, exchange.needs_linger)
+        elif keeps_open and not exchange.has_read_ahead:
+            self._read_next(conn)
+        elif keeps_open and not conn.order.pending:
+            conn.waiting_since_s = self._clock.monotonic()
+            self._send_continue(conn)
+        self._close_if_unused(conn)
+
+    def _read_next(self, conn: EdgeConnection) -> None:
+        """Wait for the next request; it may have arrived together with the last one."""
+        if conn.is_closing or not self._begin_reading(conn):
+            return
         conn.waiting_since_s = self._clock.monotonic()
-        # The next request may have arrived together with the last one.
         if conn.intake.feed(b""):
             self._dispatch(conn)
         else:
             self._update_buffered(conn)
+            self._send_continue(conn)
             self._watch(conn)
 
-    def linger(self, conn) -> None:
-        """Receive and discard what a refused sender still sends."""
+    def _begin_reading(self, conn: EdgeConnection) -> bool:
+        with conn.lock:
+            if conn.is_read or conn.is_closed:
+                return False
+            conn.is_read = True
+        return True
+
+    def _end_reading(self, conn: EdgeConnection) -> None:
+        with conn.lock:
+            conn.is_read = False
+        self._close_if_unused(conn)
+
+    def _begin_close(self, conn: EdgeConnection, needs_linger: bool) -> None:
+        """Close a connection after an answer, once nothing uses it any more.
+
+        A close with unread input would reset the connection, so that its sender may
+        lose the answer.
+        """
+        conn.is_closing = True
+        if conn.closes_with_reset or not (needs_linger and self.server.ready):
+            if conn.is_read:
+                # Wakes up the thread that waits for input; sends nothing to the caller.
+                with contextlib.suppress(OSError):
+                    conn.socket.shutdown(socket.SHUT_RD)
+            return
         conn.waiting_since_s = self._clock.monotonic()
-        self._watch(conn)
+        conn.is_lingering = True
+        with contextlib.suppress(OSError):
+            conn.socket.shutdown(socket.SHUT_WR)
+            if self._begin_reading(conn):
+                self._watch(conn)
+
+    def _close_if_unused(self, conn: EdgeConnection) -> None:
+        with conn.lock:
+            in_use = conn.is_read or conn.order.pending
+            if conn.is_closed or not conn.is_closing or in_use:
+                return
+            conn.is_closed = True
+        conn.close()
+
+    def close(self) -> None:
+        """Close every connection, those with a request in flight after its answer."""
+        for conn in self._waiting_connections():
+            conn.is_closing = True
+            self._end_reading(conn)
+        self._selector.close()
 
-    def _watch(self, conn) -> None:
+    def _watch(self, conn: EdgeConnection) -> None:
         self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, conn)
 
-    def _is_watched(self, fd: int, conn) -> bool:
+    def _is_watched(self, fd: int, conn: EdgeConnection) -> bool:
         """Return whether a connection is still registered.
 
         Handling one event of a batch may evict the connection of a later one.
@@ -94,43 +170,44 @@
 
     def _accept(self) -> None:
         if self._num_connections >= MAX_CONNECTIONS:
-            self._evict(max(self._waiting_connections(), key=self._age))
+            self._evict_longest_waiting()
         try:
             conn = self._from_server_socket(self.server.socket)
         except OSError:
             # Out of file descriptors: evict one, and accept on the next event.
-            waiting = self._waiting_connections()
-            if not waiting:
+            if not self._evict_longest_waiting():
                 raise
-            self._evict(max(waiting, key=self._age))
             return
         if conn is None:
             return
         conn.waiting_since_s = self._clock.monotonic()
+        conn.is_read = True
         if self._receive(conn):
             self._watch(conn)
         else:
             self._dispatch_or_close(conn)
 
-    def _receive(self, conn) -> bool:
+    def _receive(self, conn: EdgeConnection) -> bool:
         """Receive available bytes; return whether the connection still waits."""
+        if conn.is_closing and not conn.is_lingering:
+            return False
         try:
             # Unlike socket.recv this never waits, whatever the socket's timeout.
             data = os.read(conn.socket.fileno(), RECEIVE_BYTES)
         except BlockingIOError:
             return True
         except OSError:
-            conn.closes_unanswered = True
+            conn.is_closing = True
             return False
         if conn.is_lingering:
             conn.discarded_bytes += len(data)
             return bool(data) and conn.discarded_bytes < LINGER_BYTES
         return self._feed(conn, data)
 
-    def _feed(self, conn, data: bytes) -> bool:
+    def _feed(self, conn: EdgeConnection, data: bytes) -> bool:
         intake = conn.intake
         if not data:
-            conn.closes_unanswered = intake.is_empty
+            conn.is_closing = intake.is_empty
             intake.feed_eof()
             return False
         conn.last_received_s = self._clock.monotonic()
@@ -138,15 +215,22 @@
             conn.waiting_since_s = conn.last_received_s
         still_waits = not intake.feed(data)
         self._update_buffered(conn)
-        if still_waits and intake.expects_continue:
-            intake.expects_continue = False
-            with contextlib.suppress(OSError):
-                os.write(conn.socket.fileno(), CONTINUE)
+        if still_waits:
+            self._send_continue(conn)
         if self.server.buffered_bytes.total > self.server.max_buffered_bytes:
             return self._free_memory(conn) and still_waits
         return still_waits
 
-    def _free_memory(self, conn) -> bool:
+    def _send_continue(self, conn: EdgeConnection) -> None:
+        """Ask for a body that the caller holds back, after all earlier answers."""
+        with conn.lock:
+            if not conn.intake.expects_continue or conn.order.pending:
+                return
+            conn.intake.expects_continue = False
+        with contextlib.suppress(OSError):
+            os.write(conn.socket.fileno(), CONTINUE)
+
+    def _free_memory(self, conn: EdgeConnection) -> bool:
         """Abort the request with the most bytes times age; return if `conn` is kept."""
         senders = [*self._waiting_connections(), conn]
         victim = max(
@@ -160,35 +244,53 @@
         self._dispatch_or_close(victim)
         return True
 
-    def _dispatch_or_close(self, conn) -> None:
-        if conn.closes_unanswered or conn.is_lingering:
-            conn.close()
+    def _dispatch_or_close(self, conn: EdgeConnection) -> None:
+        if conn.is_closing:
+            self._end_reading(conn)
         else:
             self._dispatch(conn)
 
-    def _dispatch(self, conn) -> None:
+    def _dispatch(self, conn: EdgeConnection) -> None:
+        """Hand the request that has arrived to a serving thread."""
+        exchange = conn.pop_exchange()
         self._update_buffered(conn)
-        self.server.requests.put(conn)
+        if exchange is not None:
+            self._end_reading(conn)
+            self.server.requests.put(exchange)
+        elif conn.is_closing and not conn.is_lingering:
+            self._end_reading(conn)
+        else:
+            # An answer that closes the connection is on its way.
+            conn.is_lingering = True
+            self._watch(conn)
 
-    def _update_buffered(self, conn) -> None:
+    def _update_buffered(self, conn: EdgeConnection) -> None:
         self.server.buffered_bytes.update(conn, conn.intake.buffered_bytes)
 
-    def _abort(self, conn, reason: Reason) -> None:
+    def _abort(self, conn: EdgeConnection, reason: Reason) -> None:
         conn.abort_reason = reason
         conn.intake.abort()
         self._update_buffered(conn)
 
-    def _evict(self, conn) -> None:
+    def _evict_longest_waiting(self) -> bool:
+        """Evict a connection with no request in flight; return False if none is."""
+        waiting = [c for c in self._waiting_connections() if not c.order.pending]
+        if not waiting:
+            return False
+        self._evict(max(waiting, key=self._age))
+        return True
+
+    def _evict(self, conn: EdgeConnection) -> None:
         """Stop waiting for a connection; refuse its request if one has begun."""
         self._selector.unregister(conn.socket.fileno())
-        conn.closes_unanswered = conn.intake.is_empty
+        conn.is_closing |= conn.intake.is_empty
         self._abort(conn, Reason.OVERLOAD)
         self._dispatch_or_close(conn)
 
-    def _waiting_connections(self) -> list:
+    def _waiting_connections(self) -> list[EdgeConnection]:
         return [c for _, c in self._selector.connections if c is not self.server]
 
-    def _age(self, conn) -> float:
+    def _age(self, conn: EdgeConnection) -> float:
         return self._clock.monotonic() - conn.waiting_since_s
 
     def _expire(self, threshold: float) -> None:
@@ -202,15 +304,17 @@
         for conn in self._waiting_connections():
             if threshold > self._wait_deadline_s(conn):
                 self._selector.unregister(conn.socket.fileno())
-                conn.closes_unanswered = conn.intake.is_empty
-                if not conn.closes_unanswered and not conn.is_lingering:
+                conn.is_closing |= conn.intake.is_empty
+                if not conn.is_closing:
                     self._abort(conn, Reason.SLOW_REQUEST)
                 self._dispatch_or_close(conn)
 
-    def _wait_deadline_s(self, conn) -> float:
+    def _wait_deadline_s(self, conn: EdgeConnection) -> float:
         """Return the time until which a connection may wait if nothing more arrives."""
         if conn.is_lingering:
             return conn.waiting_since_s + LINGER_S
+        if conn.order.pending and conn.intake.is_empty:
+            return math.inf
         if conn.intake.is_empty:
             return conn.waiting_since_s + self.server.timeout
         idle_deadline_s = conn.last_received_s + self.server.timeout
@@ -233,26 +337,23 @@
     def start(self) -> None:
         """Do nothing: threads are started as requests arrive."""
 
-    def put(self, conn) -> None:
-        """Serve the request of a connection."""
-        self._pool.submit(lambda: self._serve(conn))
+    def put(self, exchange: EdgeExchange) -> None:
+        """Serve a request."""
+        self._pool.submit(lambda: self._serve(exchange))
 
     def stop(self, timeout: float = 0) -> None:
         """Do nothing: the threads end with the process."""
 
-    def _serve(self, conn) -> None:
-        keep_open = False
+    def _serve(self, exchange: EdgeExchange) -> None:
+        keeps_open = False
         try:
-            keep_open = conn.communicate()
+            keeps_open = exchange.communicate()
         except ConnectionError as error:
             self._server.error_log(
                 f"connection lost while a request was served ({error})"
             )
         finally:
-            if keep_open:
-                self._server.put_conn(conn)
-            else:
-                conn.close()
+            self._server.end(exchange, keeps_open)
 
 
 class EdgeHttpServer(Server):
@@ -274,6 +375,10 @@
         self._connections.close()
         self._connections = EdgeConnections(self)
 
-    def linger(self, conn) -> None:
-        """Discard what a refused sender still sends for a while, then close."""
-        self._connections.linger(conn)
+    def read_ahead(self, exchange: EdgeExchange) -> None:
+        """Wait for the next request of a connection while this one is served."""
+        self._connections.read_ahead(exchange)
+
+    def end(self, exchange: EdgeExchange, keeps_open: bool) -> None:
+        """Record the end of an answer."""
+        self._connections.end(exchange, keeps_open)
--- a/chicorychute/transport/edge_request.py
+++ b/chicorychute/transport/edge_request.py
@@ -5,23 +5,17 @@
 """
 
 import contextlib
-import io
 import re
-import socket
-import struct
 
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HTTPRequest
 from cheroot.wsgi import Gateway_10
 
 from chicorychute.core.outcomes import REASON_SPECS, Outcome, Reason
 from chicorychute.orders import token
 from chicorychute.pipeline.values import AnswerBroken, Refused
-from chicorychute.transport.edge_streams import EdgeWriter
-from chicorychute.transport.intake import HEAD_END, Intake, ReceivedRequest
+from chicorychute.transport.intake import HEAD_END
 
 MAX_HEADERS = 100
-# Value of SO_LINGER: on, with a time-out of 0 s.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 REASON_BY_STATUS = {
     "408": Reason.SLOW_REQUEST,
@@ -169,6 +163,21 @@
     def mark_dispatched(self) -> None:
         """Record that the complete request was read and goes to its handler."""
         self.dispatched = True
+        self.conn.is_framed = not self.close_connection
+
+    def try_close(self) -> bool:
+        """Close the connection after the answer, unless further requests run ahead.
+
+        Returns
+        -------
+        bool
+            Whether this is the last answer of the connection.
+        """
+        if not self.conn.connection.order.try_close(self.conn.turn):
+            return False
+        self.close_connection = True
+        self.conn.needs_linger = True
+        return True
 
     def abandon_body(self) -> None:
         """Close the connection after the answer, as the body was not read."""
@@ -196,95 +205,6 @@
             self.conn.wfile.write(head.encode("latin-1") + response.body)
 
 
-class HeadFile(io.BytesIO):
-    """Head of a request, as the file object from which the HTTP server reads."""
-
-    bytes_read = 0
-
-
-def _make_file(sock: socket.socket, mode: str, size: int):
-    return HeadFile() if "r" in mode else EdgeWriter(sock)
-
-
-class EdgeConnection(HTTPConnection):
-    """Connection of a caller.
-
-    Attributes
-    ----------
-    abort_reason : Reason, optional
-        Why the server stopped receiving the request.
-    closes_unanswered : bool
-        Whether the connection is closed without an answer: it failed, or
-        its wait ended while no request had begun.
-    needs_linger : bool
-        Whether the sender was refused and may still be sending, so that `close`
-        has to read on for a while.
-    is_lingering : bool
-        Whether bytes are only received to be discarded before the close.
-    closes_with_reset : bool
-        Whether the close resets the connection.
-    waiting_since_s : float
-        Time, in seconds of the monotonic clock, at which the current wait or
-        request began.
-    last_received_s : float
-        Time, on the same clock, at which bytes of a request last arrived.
-    counted_bytes : int
-        Bytes counted for this connection in the server's `BufferedBytes`.
-    discarded_bytes : int
-        Bytes received while lingering.
-    """
-
-    RequestHandlerClass = EdgeRequest
-    needs_linger = False
-    closes_with_reset = False
-    closes_unanswered = False
-    is_lingering = False
-    abort_reason: Reason | None = None
-    waiting_since_s = 0.0
-    last_received_s = 0.0
-    counted_bytes = 0
-    discarded_bytes = 0
-
-    def __init__(self, server, sock: socket.socket, makefile=_make_file):
-        super().__init__(server, sock, _make_file)
-        self.intake = Intake(
-            server.max_request_header_size, server.max_request_body_size
-        )
-        self.received = ReceivedRequest(b"", b"", None)
-
-    def communicate(self) -> bool:
-        """Answer the request that has arrived."""
-        self.received = self.intake.pop_request()
-        self.server.buffered_bytes.update(self, self.intake.buffered_bytes)
-        self.rfile = HeadFile(self.received.head)
-        return super().communicate()
-
-    def reset(self) -> None:
-        """Make the close a reset, which no client takes for the end of an answer."""
-        self.closes_with_reset = True
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-    def close(self) -> None:
-        """Close; read on first if the sender was refused, so that it gets the refusal.
-
-        A close with unread input would reset the connection.
-        """
-        self.server.buffered_bytes.update(self, 0)
-        if self.needs_linger and not self.is_lingering and self.server.ready:
-            self.is_lingering = True
-            with contextlib.suppress(OSError, ValueError, KeyError):
-                self.socket.shutdown(socket.SHUT_WR)
-                self.server.linger(self)
-                return
-        super().close()
-
-    def _close_kernel_socket(self) -> None:
-        # A shutdown would send FIN, which ends an answer cleanly.
-        if not self.closes_with_reset:
-            super()._close_kernel_socket()
-
-
 class EdgeGateway(Gateway_10):
     """WSGI gateway that adds the request object to the environment."""
 
