Hold requests that come while a daemon starts until it knows table and list

Cause: a daemon listens some tenths of a second before it knows the table and the list of upstreams. At each restart of one daemon its callers meet the same. Change: pipeline/startup.py holds a request until both are known, no longer than its caller waits, and none later than a second after the start of the daemon: one that knows nothing by then refuses at once, as before. Measured: the new test of tests/processes/test_mesh.py fails without it (the first call gets 503).

--- a/chicorychute/daemon.py
+++ b/chicorychute/daemon.py
@@ -55,6 +55,7 @@
 from chicorychute.pipeline.measure import measure
 from chicorychute.pipeline.once import OrderHome
 from chicorychute.pipeline.request_log import log_end
+from chicorychute.pipeline.startup import StartupHold
 from chicorychute.pipeline.values import Handler, chain
 from chicorychute.services.drain import DrainService
 from chicorychute.services.entry import EntryService
@@ -314,6 +315,7 @@
         ledger = OrderLedger(hello.instance, hello.incarnation, clock)
         self._home = OrderHome(ledger, entry.relay, clock)
         self._permits = ServerPermits(self._settings.get("edge", "threads"))
+        self._startup = StartupHold(self._can_route, clock)
         return chain(
             [
                 self._leaving.track,
@@ -321,6 +323,7 @@
                 measure(self._telemetry.requests, clock),
                 log_end(clock, lambda: self._tables.version),
                 self._home.confirm_not_run,
+                self._startup.filter,
                 filters.route(self._tables.routes),
                 filters.in_turn,
                 self._permits.filter,
@@ -471,6 +474,7 @@
         if self._gate.apply_list(upstreams, complete):
             self._publish()
             self._fleet.send_own_record()
+        self._startup.update()
 
     def _publish(self) -> None:
         digests = self._gate.digests()
@@ -508,6 +512,12 @@
         idle_s = max((row.idle_s for row in table.rows), default=0.0)
         self._edge.set_idle_timeout(idle_s or IDLE_TIMEOUT_S)
         self._telemetry.table.set_version(table.version)
+        self._startup.update()
+
+    def _can_route(self) -> bool:
+        """Return whether the table is known and, where it decides, the list."""
+        has_list = not self._is_mesh or self._lists.revision > 0
+        return bool(self._tables.version) and has_list
 
     def _why_not_ready(self) -> str:
         if self._stop_requested.is_set():
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import threading
+import time
 from urllib.parse import parse_qs
 
 import attrs
@@ -24,11 +25,14 @@
         Oldest revision whose changes are kept; a watch from before it gets 410.
     fail_after : int
         Number of calls after which every call fails with 503; 0 for no limit.
+    delay_s : float
+        Time before every call is answered.
     """
 
     status: int = 0
     oldest_known_revision: int = 0
     fail_after: int = 0
+    delay_s: float = 0.0
 
 
 class StoreApplication:
@@ -98,6 +102,8 @@
         self.calls.append(name)
         self.stale_calls += query.get("allow_stale") == "1"
         faults = self.faults
+        if faults.delay_s:
+            time.sleep(faults.delay_s)
         if faults.status or 0 < faults.fail_after < len(self.calls):
             start_response(f"{faults.status or 503} Fault", JSON_HEADERS)
             return [b"{}"]
--- a/tests/processes/test_mesh.py
+++ b/tests/processes/test_mesh.py
@@ -178,6 +178,16 @@
     deployment.wait_until(lambda: deployment.call(path="/odd/x").status == 404)
 
 
+def test_requests_that_come_while_the_daemon_starts_are_served(deployment):
+    deployment.store.put("op/config", make_config(3))
+    deployment.store.put("servers/i-1", make_registration(deployment.upstream_address))
+    deployment.store.faults.delay_s = 0.2
+    deployment.start()
+    statuses = []
+    deployment.wait_until(lambda: statuses.append(deployment.call().status) is None)
+    assert statuses == [200]
+
+
 def test_upstream_gets_no_work_before_the_list_names_it(deployment):
     deployment.store.put("op/config", make_config(3))
     deployment.start()
