Refuse late requests at once that are not expected to start in time

Cause: late requests that gave way were kept until they could not meet their deadline. In a burst that outlasts their time they were held nearly to its end and then refused. Change: late requests may expect a tenth of the slots, as a rank does in a flood of others; those that would not start in time at that pace are refused at once. The measured floods state targets as daemons do, and count a request as refused early only if it has a tenth of its time left, whatever the reason given.

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -23,6 +23,9 @@
 ]
 
 QUEUE_LIMIT_PER_SLOT = 100
+# Fraction of the slots that late requests may expect to get, as a rank does in a flood
+# of others.
+LATE_SLOT_FRACTION = 0.1
 # Deadlines of tickets that no longer wait, kept before the heap is rebuilt.
 STALE_DEADLINE_LIMIT = 64
 
@@ -305,15 +308,20 @@
             state.late = waiting.late
 
     def _refuse_hopeless(self, now_s: float) -> list[Decision]:
-        """Refuse late requests as soon as it is too late to start them.
+        """Refuse late requests that are not expected to start in time.
 
         Their entries learn that they have not run while there is time to say so.
         """
         refused: list[Decision] = []
         for rank, state in self._order.by_rank.items():
             if state.late:
-                end_s = now_s + state.service.upper_estimate_s(now_s)
-                for ticket in self._waiting_by_rank[rank].hopeless(end_s):
+                late_slots = max(self.limit, 1) * LATE_SLOT_FRACTION
+                hopeless = self._waiting_by_rank[rank].hopeless(
+                    now_s,
+                    state.service.upper_estimate_s(now_s),
+                    state.cost_s / late_slots,
+                )
+                for ticket in hopeless:
                     self._remove(ticket)
                     refused.append(Refused(ticket, Reason.OVERLOAD))
         return refused
--- a/chicorychute/admission/waiting.py
+++ b/chicorychute/admission/waiting.py
@@ -73,15 +73,26 @@
             del self._on_time[ticket]
             self._late[ticket] = None
 
-    def hopeless(self, end_s: float) -> list[Waiting]:
-        """Return the late requests that can't meet their deadline any more.
+    def hopeless(
+        self, now_s: float, service_s: float, interval_s: float
+    ) -> list[Waiting]:
+        """Return the late requests that are not expected to meet their deadline.
 
         Parameters
         ----------
-        end_s : float
-            Time until which a request that starts now takes.
+        service_s : float
+            Time that a request takes once it has started.
+        interval_s : float
+            Expected time between the starts of two late requests.
         """
-        return [ticket for ticket in self._late if end_s > ticket.deadline_s]
+        hopeless = []
+        start_s = now_s
+        for ticket in self._late:
+            if start_s + service_s > ticket.deadline_s:
+                hopeless.append(ticket)
+            else:
+                start_s += interval_s
+        return hopeless
 
     def oldest_late(self) -> Waiting | None:
         """Return the late request that has waited longest, None if none is late."""
--- a/chicorychute/bench/ranks.py
+++ b/chicorychute/bench/ranks.py
@@ -39,6 +39,8 @@
 # The start of the flood is counted apart from the other figures.
 SETTLE_TIME_S = 2.0
 MAX_ATTEMPTS = 3
+# Fraction of its time that a request refused early still has left.
+EARLY_FRACTION = 0.1
 TICK_S = 0.05
 SEED = 4
 # Ratio to an earlier fraction up to which a fraction does not count as worse.
@@ -327,8 +329,12 @@
         arrival = request.arrival
         request.upstream = self._choose(request)
         request.attempt += 1
-        deadline_s = arrival.at_s + self._demand_by_rank[arrival.rank].deadline_s
-        ticket = Ticket(self._order.rank_of(arrival.rank), deadline_s)
+        rank_demand = self._demand_by_rank[arrival.rank]
+        ticket = Ticket(
+            self._order.rank_of(arrival.rank),
+            arrival.at_s + rank_demand.deadline_s,
+            target_s=arrival.at_s + rank_demand.target_s,
+        )
         self._request_by_ticket[ticket] = request
         self._deliver([self._queues[request.upstream].submit(ticket)])
 
@@ -369,10 +375,14 @@
         if reason is Reason.OVERLOAD and request.attempt < MAX_ATTEMPTS:
             self._submit(request)
             return
-        if _is_measured(request.arrival.at_s):
-            result = self.by_rank[request.arrival.rank]
-            result.refused_early += reason is Reason.OVERLOAD
-            result.expired += reason is Reason.DEADLINE
+        arrival = request.arrival
+        if _is_measured(arrival.at_s):
+            result = self.by_rank[arrival.rank]
+            deadline_s = self._demand_by_rank[arrival.rank].deadline_s
+            remaining_s = arrival.at_s + deadline_s - self._clock.monotonic()
+            is_early = remaining_s >= EARLY_FRACTION * deadline_s
+            result.refused_early += is_early
+            result.expired += not is_early
 
     def _start(self, ticket: Ticket) -> None:
         request = self._request_by_ticket[ticket]
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -332,16 +332,28 @@
     assert queue.advance() == [Refused(late, Reason.OVERLOAD)]
 
 
-def test_late_request_is_refused_rather_than_one_that_can_be_in_time(clock):
+def test_of_many_late_requests_those_that_will_not_start_are_refused_at_once(clock):
     queue = UpstreamQueue(1, POLICIES, clock)
     first = fill(queue, 1, "order")[0][0]
     late = [Ticket("order", 9.0, target_s=1.5) for _ in range(6)]
     assert [type(queue.submit(ticket)) for ticket in late] == [Queued] * 6
     clock.advance(2.0)
-    queue.release(first)  # The service time of 2 s is known from here on.
-    in_time = Ticket("order", 9.0, target_s=8.0)
-    too_late = Ticket("order", 9.0, target_s=3.0)
+    decisions = queue.release(first)  # The service time of 2 s is known from here on.
+    assert decisions == [
+        *(Refused(ticket, Reason.OVERLOAD) for ticket in late[1:]),
+        Granted(late[0]),
+    ]
+
+
+def test_late_request_is_refused_rather_than_one_that_can_be_in_time(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    first = fill(queue, 2, "order")[0][0]
+    clock.advance(1.0)
+    queue.release(first)  # The service time of 1 s is known from here on.
+    late = [Ticket("order", 100.0, target_s=1.5) for _ in range(6)]
+    assert [type(queue.submit(ticket)) for ticket in late] == [Queued] * 6
+    in_time = Ticket("order", 6.0, target_s=5.0)
+    too_late = Ticket("order", 6.0, target_s=1.5)
     assert queue.submit(too_late) == Refused(too_late, Reason.OVERLOAD)
     assert queue.submit(in_time) == Queued(in_time)
-    assert queue.advance() == [Refused(late[1], Reason.OVERLOAD)]
-    assert grants(queue.release(late[0])) == [in_time]
+    assert queue.advance() == [Refused(late[0], Reason.OVERLOAD)]
