Expect all slots of a rank for late requests where none can be in time

Cause: where an upstream is slower than the target of a rank, every request there is late, and all but a few were refused, as if they gave way to others. Change: late requests may expect a tenth of the slots only while one waits that can be in time, otherwise what the rank may expect. Measured: the new case of tests/admission/test_queue.py fails without it (one of five served).

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from chicorychute.admission.ranks import RankOrder, RankPolicy
+from chicorychute.admission.ranks import RankOrder, RankPolicy, RankState
 from chicorychute.admission.waiting import RankWaiting
 from chicorychute.core.clock import Clock
 from chicorychute.core.outcomes import Reason
@@ -23,8 +23,8 @@
 ]
 
 QUEUE_LIMIT_PER_SLOT = 100
-# Fraction of the slots that late requests may expect to get, as a rank does in a flood
-# of others.
+# Fraction of the slots that late requests may expect to get while others can be in
+# time, as a rank does in a flood of others.
 LATE_SLOT_FRACTION = 0.1
 # Deadlines of tickets that no longer wait, kept before the heap is rebuilt.
 STALE_DEADLINE_LIMIT = 64
@@ -315,17 +315,26 @@
         refused: list[Decision] = []
         for rank, state in self._order.by_rank.items():
             if state.late:
-                late_slots = max(self.limit, 1) * LATE_SLOT_FRACTION
+                slots = max(self.limit, 1) * self._late_slot_fraction(state)
                 hopeless = self._waiting_by_rank[rank].hopeless(
-                    now_s,
-                    state.service.upper_estimate_s(now_s),
-                    state.cost_s / late_slots,
+                    now_s, state.service.upper_estimate_s(now_s), state.cost_s / slots
                 )
                 for ticket in hopeless:
                     self._remove(ticket)
                     refused.append(Refused(ticket, Reason.OVERLOAD))
         return refused
 
+    def _late_slot_fraction(self, state: RankState) -> float:
+        """Return the fraction of the slots that late requests of a rank may expect.
+
+        Where an upstream is slower than the target, all requests are late and give way
+        to none.
+        """
+        if state.waiting > state.late:
+            return LATE_SLOT_FRACTION
+        rank_fraction = self._order.slot_fraction(state.policy.rank)
+        return max(rank_fraction, LATE_SLOT_FRACTION)
+
     def _is_late(self, ticket: Ticket, now_s: float) -> bool:
         service = self._order.by_rank[ticket.rank].service
         return now_s + service.upper_estimate_s(now_s) > ticket.target_s
--- a/chicorychute/admission/ranks.py
+++ b/chicorychute/admission/ranks.py
@@ -192,20 +192,27 @@
         state = self.by_rank[rank]
         return self._wait_behind(state, state.waiting, slots)
 
+    def slot_fraction(self, rank: str) -> float:
+        """Return the fraction of the slots that a rank may expect to get."""
+        return self._slot_fraction(self.by_rank[rank])
+
+    def _slot_fraction(self, state: RankState) -> float:
+        fraction = state.effective_share
+        if not state.flooded:
+            taken = self._demand_above(state) + self._reserved_below(state)
+            fraction = max(fraction, 1 - taken)
+        return max(fraction, MIN_COST_S)
+
     def _wait_behind(self, state: RankState, count: int, slots: int) -> float:
         """Return the wait in seconds behind `count` requests of a rank."""
-        if state.flooded:
-            slot_fraction = state.effective_share
-            ahead_s = count * state.cost_s
-        else:
-            slot_fraction = 1 - self._demand_above(state) - self._reserved_below(state)
-            ahead = [
-                other for other in self.by_rank.values() if _precedes(other, state)
-            ]
-            ahead_s = count * state.cost_s
-            ahead_s += sum(other.waiting * other.cost_s for other in ahead)
-        slot_fraction = max(slot_fraction, state.effective_share, MIN_COST_S)
-        return ahead_s / (max(slots, 1) * slot_fraction)
+        ahead_s = count * state.cost_s
+        if not state.flooded:
+            ahead_s += sum(
+                other.waiting * other.cost_s
+                for other in self.by_rank.values()
+                if _precedes(other, state)
+            )
+        return ahead_s / (max(slots, 1) * self._slot_fraction(state))
 
     def _affordable_fraction(self) -> float:
         """Return the fraction of the guarantees for which fitting ranks leave room."""
