Put requests that come late behind the others, and end reads of a closed connection

A request that was tried elsewhere until it was late was queued among those that can be in time. A request that let the next one be read in the moment in which an earlier answer reset the connection could leave it open until it was idle for long. Change: a late request is queued as such. Whoever begins to read looks again whether the connection closes. Measured: the new case of tests/admission/test_queue.py fails without the first; the second has no test, as no schedule brings it about from outside. Tests of admission and of the edge pass.

--- a/chicorychute/admission/queue.py
+++ b/chicorychute/admission/queue.py
@@ -175,17 +175,18 @@
             return Granted(ticket)
         if not ticket.may_wait:
             return Refused(ticket, Reason.NO_FREE_SLOT)
-        if self._too_late_if_queued(ticket, now_s) and not self._displace(ticket):
+        if self._too_late_if_queued(ticket, now_s) and not self._displace(
+            ticket, now_s
+        ):
             return Refused(ticket, Reason.OVERLOAD)
-        self._enqueue(ticket)
+        self._enqueue(ticket, now_s)
         return Queued(ticket)
 
-    def _displace(self, ticket: Ticket) -> bool:
+    def _displace(self, ticket: Ticket, now_s: float) -> bool:
         """Refuse a late request of the same rank instead of one that is not late.
 
         The next `advance` returns the refusal.
         """
-        now_s = self._clock.monotonic()
         self._demote_late(now_s)
         waiting = self._waiting_by_rank[ticket.rank]
         displaced = waiting.oldest_late()
@@ -274,9 +275,12 @@
             if self._waiting_by_rank[rank] and self._below_cap(rank)
         ]
 
-    def _enqueue(self, ticket: Ticket) -> None:
-        self._waiting_by_rank[ticket.rank].add(ticket)
-        self._order.by_rank[ticket.rank].waiting += 1
+    def _enqueue(self, ticket: Ticket, now_s: float) -> None:
+        waiting = self._waiting_by_rank[ticket.rank]
+        waiting.add(ticket, self._is_late(ticket, now_s))
+        state = self._order.by_rank[ticket.rank]
+        state.waiting += 1
+        state.late = waiting.late
         self._queued += 1
         deadline = (ticket.deadline_s, next(self._sequence), ticket)
         heapq.heappush(self._deadlines, deadline)
--- a/chicorychute/admission/waiting.py
+++ b/chicorychute/admission/waiting.py
@@ -3,8 +3,8 @@
 Load pattern: for some seconds more work than there are slots, with requests that may
 wait for several times their target. In the order of arrival every request waits until
 its answer is late, though the slots could answer most of them in time. Here a request
-that can't meet its target any more gives way to those that can; it is served once none
-of them waits, or refused once it can't meet its deadline.
+that can't meet its target any more gives way to those that can. It is served once none
+of them waits, or refused as soon as it is not expected to meet its deadline.
 """
 
 from collections import OrderedDict
@@ -49,9 +49,9 @@
         """Number of requests that can't meet their target any more."""
         return len(self._late)
 
-    def add(self, ticket: Waiting) -> None:
-        """Add a request behind those that can meet their target."""
-        self._on_time[ticket] = None
+    def add(self, ticket: Waiting, is_late: bool) -> None:
+        """Add a request; one that is late already goes behind all others."""
+        (self._late if is_late else self._on_time)[ticket] = None
 
     def remove(self, ticket: Waiting) -> None:
         """Remove a request."""
--- a/chicorychute/transport/edge_connections.py
+++ b/chicorychute/transport/edge_connections.py
@@ -29,7 +29,8 @@
 EXPIRY_INTERVAL_S = 0.2
 # Requests of one connection that may be in flight at a time. Each holds a thread.
 MAX_REQUESTS_IN_FLIGHT = 8
-# Limits for reading on after a refusal, so that the sender gets it before the close.
+# Limits for reading on after the last answer, so that the caller gets it before the
+# close.
 LINGER_S = 1.0
 LINGER_BYTES = 4 << 20
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -43,7 +44,7 @@
         self.total = 0
 
     def update(self, conn, byte_count: int) -> None:
-        """Replace the number of bytes counted for a connection."""
+        """Replace the number of bytes counted for a connection or an exchange."""
         with self._lock:
             self.total += byte_count - conn.counted_bytes
             conn.counted_bytes = byte_count
@@ -85,7 +86,11 @@
 
     def _read_next(self, conn: EdgeConnection) -> None:
         """Wait for the next request; it may have arrived together with the last one."""
-        if conn.is_closing or not self._begin_reading(conn):
+        if not self._begin_reading(conn):
+            return
+        if conn.is_closing:
+            # An earlier answer has closed the connection meanwhile.
+            self._stop_or_linger(conn)
             return
         conn.waiting_since_s = self._clock.monotonic()
         if conn.intake.feed(b""):
@@ -95,6 +100,13 @@
             self._send_continue(conn)
             self._watch(conn)
 
+    def _stop_or_linger(self, conn: EdgeConnection) -> None:
+        """End reading, or go on with it to discard what still comes."""
+        if conn.is_lingering:
+            self._watch(conn)
+        else:
+            self._end_reading(conn)
+
     def _begin_reading(self, conn: EdgeConnection) -> bool:
         with conn.lock:
             if conn.is_read or conn.is_closed:
@@ -257,12 +269,10 @@
         if exchange is not None:
             self._end_reading(conn)
             self.server.requests.put(exchange)
-        elif conn.is_closing and not conn.is_lingering:
-            self._end_reading(conn)
         else:
-            # An answer that closes the connection is on its way.
-            conn.is_lingering = True
-            self._watch(conn)
+            # An answer that closes the connection is sent, or on its way.
+            conn.is_lingering |= not conn.is_closing
+            self._stop_or_linger(conn)
 
     def _update_buffered(self, conn: EdgeConnection) -> None:
         self.server.buffered_bytes.update(conn, conn.intake.buffered_bytes)
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -318,6 +318,22 @@
     assert grants(queue.release(fresh)) == [late]
 
 
+def test_request_that_comes_late_goes_behind_all_that_can_be_in_time(clock):
+    queue = UpstreamQueue(1, POLICIES, clock)
+    running = fill(queue, 1, "order")[0][0]
+    first = Ticket("order", 100.0, target_s=50.0)
+    late = Ticket("order", 100.0, target_s=-1.0)
+    last = Ticket("order", 100.0, target_s=50.0)
+    for ticket in (first, late, last):
+        queue.submit(ticket)
+    served = []
+    for _ in range(3):
+        clock.advance(0.1)
+        (running,) = grants(queue.release(running))
+        served.append(running)
+    assert served == [first, last, late]
+
+
 def test_late_request_is_refused_once_it_is_too_late_to_start_it(clock):
     queue = UpstreamQueue(1, POLICIES, clock)
     first = fill(queue, 1, "order")[0][0]
