Wait in the test of the named caller until the daemon knows both entries

Cause: the test waited for five more calls to the store before it looked at the caller's name. Change: the stand-in states the newest revision that a watch of each prefix has known; the test waits until the daemon knows the configuration and the entry that it put, which five calls did not show. What it checks afterwards is unchanged.

--- a/standins/store.py
+++ b/standins/store.py
@@ -53,6 +53,8 @@
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.stale_calls = 0
+        # Newest revision that a watch of each prefix has known.
+        self.known_revision_by_prefix: dict[str, int] = {}
         self._stale_item_by_key: dict[str, dict] | None = None
         self._stale_from_key = ""
 
@@ -148,6 +150,7 @@
     def _watch(self, query):
         after = int(query["after"])
         prefix = query["path_prefix"]
+        self.known_revision_by_prefix[prefix] = after
 
         def events():
             return [
--- a/tests/processes/test_mesh.py
+++ b/tests/processes/test_mesh.py
@@ -356,10 +356,15 @@
     earlier_entry = make_registration(
         serving.upstream_address, service="stock", born=99
     )
-    serving.store.put("op/config", both_services(4))
-    serving.store.put("servers/i-0", earlier_entry)
-    reads = len(serving.store.calls)
-    serving.wait_until(lambda: len(serving.store.calls) > reads + 4)
+    known_revision_by_prefix = serving.store.known_revision_by_prefix
+    config_revision = serving.store.put("op/config", both_services(4))
+    entry_revision = serving.store.put("servers/i-0", earlier_entry)
+    serving.wait_until(
+        lambda: (
+            known_revision_by_prefix.get("op/config", 0) >= config_revision
+            and known_revision_by_prefix.get("servers/", 0) >= entry_revision
+        )
+    )
     serving.upstream.requests.clear()
     assert serving.call().status == 200
     assert [seen["HTTP_X_CALLER"] for seen in serving.upstream.requests] == ["orders"]
