Case 5: six machines, of which few read the list

Cause, beside the one before: a reader has the entries of the added service when its watch ends, but under a revision that the others know, so these take no update.

The case now starts six machines and asks at each.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,11 +9,15 @@
 from review.common.store import Store, make_config
 from review.common.wire import ClientAnswer, read_answer, request_bytes
 
-IPS = ("127.0.74.1", "127.0.74.2")
+IPS = tuple(f"127.0.77.{number}" for number in range(1, 7))
 ZONE = "bagmati-a"
 REGION_BY_ZONE = {ZONE: "bagmati"}
 FIRST_SERVICE = "orders"
 ADDED_SERVICE = "stock"
+SERVICE_BY_IP = {
+    ip: ADDED_SERVICE if number % 3 == 1 else FIRST_SERVICE
+    for number, ip in enumerate(IPS)
+}
 HOST = "shop.example"
 # Bounds of the site.
 CONFIG_S = 2.5
@@ -22,7 +26,7 @@
 COLD_LEFT = "3000ms"
 COLD_S = 3.0
 LATER_S = 14.0
-PAUSE_S = 0.2
+PAUSE_S = 0.5
 # The rule applies from this number of requests on, and to less than this share.
 MIN_REQUESTS = 20
 MIN_SHARE = 0.25
@@ -40,17 +44,19 @@
     return [name, HOST, prefix, "unsafe", "4000ms", "1200ms", 1, service, 2]
 
 
-def ask(case: Case, port: int, request_id: str, path: str) -> ClientAnswer:
-    """Send one request and return its answer."""
+def ask(case: Case, ip: str, port: int, request_id: str, path: str) -> ClientAnswer:
+    """Send one request to a machine and return its answer."""
     header_by_name = {
         "Host": HOST,
         "X-Request-Id": request_id,
         "X-Deadline-Ms": "8000",
     }
-    with socket.create_connection((IPS[0], port), timeout=10) as sock:
+    with socket.create_connection((ip, port), timeout=10) as sock:
         sock.sendall(request_bytes("POST", path, header_by_name, b"jar"))
         answer = read_answer(sock, "POST")
-    case.record.write("client", f"{request_id} {path} got status {answer.status}")
+    case.record.write(
+        "client", f"{request_id} {path} at {ip} got status {answer.status}"
+    )
     return answer
 
 
@@ -65,7 +71,7 @@
     first_services = [FIRST_SERVICE] if case.has_trouble else services
     store.put("op/config", make_config(1, rows, first_services))
     backends = []
-    for ip, service in zip(IPS, services, strict=True):
+    for ip, service in SERVICE_BY_IP.items():
         address = (ip, ports[3])
         backend = Backend(case.record, store, f"i-{ip}", service, ZONE, address, work)
         backend.start(COLD_LEFT)
@@ -85,11 +91,12 @@
     count = 0
     ends_s = time.monotonic() + LATER_S
     while time.monotonic() < ends_s:
-        count += 1
-        for path in served_by_path:
-            request_id = f"q{count}{path[1]}"
-            answer = ask(case, ports[0], request_id, path)
-            served_by_path[path] += answer.status == 200
+        for ip in IPS:
+            count += 1
+            for path in served_by_path:
+                request_id = f"q{count}{path[1]}"
+                answer = ask(case, ip, ports[0], request_id, path)
+                served_by_path[path] += answer.status == 200
         time.sleep(PAUSE_S)
     case.record.write("case", f"of {count} requests each: served {served_by_path}")
     if count < MIN_REQUESTS or not served_by_path["/order/1"]:
