Set TROUBLE and name record.txt in the script of each case

Both were handled in the frame that the cases share, so that a case's own folder did not show them. What the cases do and check is unchanged.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -92,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(play)
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -41,16 +41,20 @@
     raise TimeoutError("the case took too long or was stopped")
 
 
-def run_case(case_file: str, play: Callable[[Case], bool]) -> None:
+def run_case(play: Callable[[Case], bool]) -> None:
     """Play a case and exit with its status.
 
+    The record goes to the file named as argument, and the disruption is left out if
+    the variable ``TROUBLE`` is 0; `run.sh` of the case sets both.
+
     Parameters
     ----------
     play : callable
         Returns whether the rule held.
     """
-    record = Record(Path(case_file).with_name("record.txt"))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record_path = Path(sys.argv[1])
+    record = Record(record_path)
+    has_trouble = os.environ["TROUBLE"] != "0"
     signal.signal(signal.SIGALRM, _stop)
     signal.signal(signal.SIGTERM, _stop)
     signal.alarm(TIME_LIMIT_S)
@@ -69,6 +73,6 @@
                 Path(os.environ["KEEP_LOGS"], path.name).write_bytes(path.read_bytes())
     word = {HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "not judged"}[status]
     record.write("case", f"the rule {word}")
-    sys.stdout.write(f"{word}, see {Path(case_file).with_name('record.txt')}\n")
+    sys.stdout.write(f"{word}, see {record_path}\n")
     sys.stdout.flush()
     os._exit(status)
