Show a daemon that outgrows its memory in a burst of large orders

Cause: an idle thread of a worker pool keeps its last task, and with it the body of the request that it served. Bodies that are served or wait for a slot are not counted in any limit.

The case sends orders of 4 MB, within the operator's limit, at 2.4 times the usual rate. The daemon exceeds the 300 MB of its settings and is killed; the orders in flight lose their connections without an answer (LOST).

--- a/review/second/backend.py
+++ b/review/second/backend.py
@@ -33,7 +33,7 @@
     Parameters
     ----------
     work_s : callable
-        Returns the time in seconds that a request's run takes.
+        Returns the time in seconds that the run of a path takes.
     error_share : float
         Fraction of the runs that end with status 500.
     queue : int
@@ -48,7 +48,7 @@
         address: tuple[str, int],
         store: Store,
         record: Record,
-        work_s: Callable[[], float],
+        work_s: Callable[[str], float],
         rng: random.Random,
         slots: int = 4,
         queue: int = 8,
@@ -178,8 +178,9 @@
                     caller=request.header_by_name.get("x-caller", ""),
                     body=request.body.decode("latin-1")[:80],
                 )
+            path = request.start_line[1]
             fails = not is_probe and self._rng.random() < self.failing_share()
-            work_s = HEALTH_S if is_probe else QUICK_S if fails else self._work_s()
+            work_s = HEALTH_S if is_probe else QUICK_S if fails else self._work_s(path)
             end_s = time.monotonic() + work_s
             while (now_s := time.monotonic()) < min(end_s, deadline_s):
                 if reader.at_eof():
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -136,6 +136,14 @@
         if self.process is not None:
             self.process.wait(STOP_TIMEOUT_S)
 
+    def resident_mb(self) -> int:
+        """Return the memory of the process in megabytes, 0 if it does not run."""
+        if self.process is None or self.process.poll() is not None:
+            return 0
+        status = Path(f"/proc/{self.process.pid}/status").read_text("utf-8")
+        matched = re.search(r"VmRSS:\s+([0-9]+) kB", status)
+        return int(matched[1]) // 1024 if matched else 0
+
     def log_text(self) -> str:
         """Return what the daemon has logged."""
         path = self._directory / f"{self.ip}.log"
