Show a crashing request that escapes the quarantine

Cause: a lost connection counts as a crash only if its call was not cancelled. A caller that leaves cancels the call, so the crash is not recorded.

The case sends a safe request that crashes its backend half a second after it begins, from a client that leaves after 0.3 s, again and again.

--- a/review/second/backend.py
+++ b/review/second/backend.py
@@ -71,6 +71,7 @@
         self._born_ms = int(time.time() * 1000)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Listen, and register in the store."""
@@ -97,8 +98,22 @@
         """Remove the entry, without having reported to be draining."""
         self._store.remove(f"servers/{self.id}")
 
+    def crash(self, back_after_s: float) -> None:
+        """End at once, and start again under the same id after some time."""
+        self.stop()
+        self._restart = asyncio.create_task(self._start_again(back_after_s))
+
+    async def _start_again(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        self._taken = 0
+        self._free_slots = asyncio.Semaphore(self._slots)
+        self._born_ms = int(time.time() * 1000)
+        await self.start()
+
     def stop(self) -> None:
         """End at once, with every connection."""
+        if self._restart is not None:
+            self._restart.cancel()
         self._server.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
--- a/review/second/callers.py
+++ b/review/second/callers.py
@@ -43,8 +43,15 @@
     host: str,
     deadline_s: float,
     body: bytes = b"",
+    leaves_after_s: float | None = None,
 ) -> Call:
-    """Send a request on a new connection and return how it ended."""
+    """Send a request on a new connection and return how it ended.
+
+    Parameters
+    ----------
+    leaves_after_s : float, optional
+        Time after which the client closes the connection; its deadline if left out.
+    """
     sent_s = record.add("sent", id=id, method=method, path=path, to=address[0])
     headers = {
         "Host": host,
@@ -60,7 +67,8 @@
             asyncio.open_connection(*address), CONNECT_TIMEOUT_S
         )
         writer.write(render(f"{method} {path} HTTP/1.1", headers, body))
-        message = await asyncio.wait_for(read_message(reader, True), deadline_s)
+        waits_s = deadline_s if leaves_after_s is None else leaves_after_s
+        message = await asyncio.wait_for(read_message(reader, True), waits_s)
         status, header_by_name, data = (
             message.status,
             message.header_by_name,
