--- a/review/6/case.py
+++ b/review/6/case.py
@@ -89,4 +89,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(play)
--- a/review/second/main.py
+++ b/review/second/main.py
@@ -115,17 +115,18 @@
         self._directory.cleanup()
 
 
-def run_case(script: str, play: Callable[[Record, bool], Awaitable[list[str]]]) -> None:
+def run_case(play: Callable[[Record, bool], Awaitable[list[str]]]) -> None:
     """Play a case and end the process with its result.
 
+    The one argument of the process is the path of the record. The case is played
+    without its disruption if the variable ``TROUBLE`` is 0.
+
     Parameters
     ----------
-    script : str
-        Path of the case's script; the record is written beside it.
     play : callable
         Plays the case, with its disruption or without; returns what broke the rule.
     """
-    record = Record(Path(script).resolve().parent / "record.txt")
+    record = Record(Path(sys.argv[1]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, trouble), TIME_LIMIT_S))
