Test that an answer with status 000 is no answer

Here none passes: `http.client` takes a status below 100 for a malformed line, and the request fails with an unknown outcome (502 at a caller, a failed probe, a failed read of the platform). No code is changed.

--- a/tests/processes/test_spoilt_answers.py
+++ b/tests/processes/test_spoilt_answers.py
@@ -20,6 +20,7 @@
 UPLOAD_SIZES = (4 << 10, 100 << 10, 1 << 20, 12 << 20)
 PAUSE_S = 0.3
 SUCCESS = 200
+MIXED_REQUESTS = 20
 UPSTREAM_LOST = 502
 # Statuses of requests that were not run, and may be sent again.
 NOT_RUN_STATUSES = (429, 503)
@@ -121,3 +122,22 @@
 def test_whole_early_answer_before_a_reset_is_delivered(edge, size, pause_s):
     script = Script(WHOLE, 0.0, pause_s, resets=True)
     assert edge.answer("whole", script, size) == (SUCCESS, BODY)
+
+
+def with_status(text):
+    return Script(WHOLE.replace(b"200 OK", text))
+
+
+@pytest.mark.parametrize("status", [b"000 OK", b"000 ", b"000"])
+def test_answer_with_status_000_is_no_answer(edge, status):
+    for size in (0, UPLOAD_SIZES[0]):
+        assert edge.answer("status", with_status(status), size)[0] == UPSTREAM_LOST
+
+
+def test_answers_beside_those_with_status_000_are_delivered(edge):
+    for number in range(MIXED_REQUESTS):
+        text = b"000 OK" if number % 2 else b"200 OK"
+        status, body = edge.answer("beside", with_status(text))
+        expected = UPSTREAM_LOST if number % 2 else SUCCESS
+        assert status == expected
+        assert (body == BODY) is (status == SUCCESS)
--- a/tests/transport/test_framing.py
+++ b/tests/transport/test_framing.py
@@ -12,6 +12,7 @@
 from chicorychute.core.clock import ManualClock
 from chicorychute.core.messages import PeerRequest
 from chicorychute.core.outcomes import Outcome
+from chicorychute.health.probe import health_probe_request
 from chicorychute.platform.dialect import MeshDialect
 from chicorychute.transport.calls import UpstreamCall, tracked
 from chicorychute.transport.upstream import UpstreamClient, UpstreamFailure
@@ -45,8 +46,8 @@
     return UpstreamClient(url, 1, ManualClock(), dialect)
 
 
-def answer_of(client):
-    answer = client.send(REQUEST, b"", TIMEOUT_S)
+def answer_of(client, request=REQUEST):
+    answer = client.send(request, b"", TIMEOUT_S)
     stamps = [value for name, value in answer.headers if name.lower() == STAMP_HEADER]
     return answer.status, stamps, b"".join(answer.chunks)
 
@@ -87,6 +88,8 @@
         HEAD + b"Content-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS,
         HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + CHUNKS,
         HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole answer0\r\n\r\n",
+        WITH_LENGTH.replace(b"200 OK", b"000 OK"),
+        WITH_LENGTH.replace(b"200 OK", b"000"),
         b"HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: id1\r\n\r\n",
         HEAD.replace(b"X-Response-Stamp: s\r\n", b"") + WITH_LENGTH[len(HEAD) :],
     ],
@@ -99,6 +102,8 @@
         "length and chunks",
         "further encoding",
         "chunk beyond its size",
+        "status 000",
+        "status 000 without a reason",
         "other protocol",
         "no stamp",
     ],
@@ -110,6 +115,20 @@
     assert failure.value.outcome is Outcome.UNKNOWN
 
 
+PROBE_ANSWER = b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 2\r\n\r\nok"
+
+
+def probe(client):
+    return answer_of(client, health_probe_request("s", "/healthz"))
+
+
+def test_probe_with_status_000_is_a_failure(server, client):
+    server.scripts = [[PROBE_ANSWER], [PROBE_ANSWER.replace(b"200", b"000"), None]]
+    assert probe(client) == (200, [], b"ok")
+    with pytest.raises(UpstreamFailure):
+        probe(client)
+
+
 def test_interim_answers_are_skipped(server, client):
     interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
     server.scripts = [[interim * 2 + WITH_LENGTH]]
