Refuse answers with a malformed field name, also of the platform

Callers got an answer of an upstream in whose head a field name held a blank or a control character, or stood in a `From ` line: the line was dropped (with it a Content-Length), joined to the value before (a stamp became `s Content-Length: 12`), or, where the name began with a line feed, the rest of the head was passed on as the body. The readers of the platform took seven of eight such names.

Cause: `http.client` reads a head with a parser of mail, which knows folded lines and `From ` lines, and takes a bare line feed for the end of the head. Our check of line ends computed the place of the carriage return, which a line of a single line feed matched by accident. The readers of the platform had no check.

Now each line of a head must begin with a name of visible characters and a colon, and end with CRLF. The readers of the platform use the same reader. The check that the parser of mail finds no body goes: it caught less, and refused sound answers of type message/http and message/delivery-status.

The new tests require that such an answer fails at each place of a head, which is stricter. A value with other control characters is dropped, as before, also where these count as blanks in Python.

--- a/chicorychute/transport/bounded.py
+++ b/chicorychute/transport/bounded.py
@@ -14,6 +14,7 @@
 from urllib3.connection import HTTPConnection
 
 from chicorychute.core.clock import Clock
+from chicorychute.transport.framing import AnswerReader, FramedResponse
 
 # Limit of a status line and headers, also of all interim answers before them.
 MAX_HEAD_BYTES = 256 << 10
@@ -102,13 +103,15 @@
         super().close()
 
 
-class _BoundedBuffer(io.BufferedReader):
-    """Buffered reader that reserves no memory beyond a limit.
+class _BoundedBuffer(AnswerReader):
+    """Reader of one answer that reserves no memory beyond a limit.
 
     `io.BufferedReader` reserves what a read asks for, which may be any number that the
     server declared as the size of a body or of a chunk.
     """
 
+    keep_open = False
+
     def __init__(self, raw: BoundedReader, max_read_bytes: int):
         super().__init__(raw)
         self._max_read_bytes = max_read_bytes
@@ -148,7 +151,9 @@
 def bounded_pool_manager(
     clock: Clock, max_answer_bytes: int, **options
 ) -> urllib3.PoolManager:
-    """Return a pool manager whose answers end by the read timeout of their call.
+    """Return a pool manager for answers that are well-formed and end in time.
+
+    An answer ends by the read timeout of its call, and has a well-formed head.
 
     Parameters
     ----------
@@ -159,6 +164,8 @@
     """
 
     class BoundedConnection(HTTPConnection):
+        response_class = FramedResponse
+
         def connect(self) -> None:
             super().connect()
             self._limits = ReadLimits(clock)
--- a/chicorychute/transport/framing.py
+++ b/chicorychute/transport/framing.py
@@ -1,22 +1,41 @@
 """Strict reading of the framing of an upstream's answer.
 
 `http.client` makes the best of a malformed answer: it takes a head that ends early for
-a complete one, drops the headers after a line that is none, and does not look at what
-ends a chunk. A proxy would pass the rest on as a complete answer.
+a complete one, joins a line that begins with a blank to the one before, drops lines or
+the whole rest of the head where a line is no header, and does not look at what ends a
+chunk. A proxy would pass the rest on as a complete answer.
 """
 
+import enum
 import io
+import re
 from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 
 CRLF = b"\r\n"
 INTERIM_STATUSES = range(100, 200)
+# A name holds neither blanks nor control characters (RFC 9110, section 5.1). A line
+# that begins with a blank is obsolete folding, which a sender must not generate and a
+# proxy may refuse (RFC 9112, section 5.2).
+starts_with_field_name = re.compile(rb"[\x21-\x39\x3b-\x7e]*:").match
+# Bytes of a malformed line that an error quotes.
+MAX_QUOTED_BYTES = 40
 
 
 class MalformedAnswer(HTTPException):
     """An answer does not follow the grammar of HTTP/1.1 (RFC 9112)."""
 
 
+class LineForm(enum.Enum):
+    """Form that a line must have."""
+
+    ANY = "any"
+    # Ends with CRLF and has no other carriage return.
+    WHOLE = "whole"
+    # Whole, and either empty or a header.
+    FIELD = "field"
+
+
 class AnswerReader(io.BufferedReader):
     """Reader of a connection, which answers share one after the other.
 
@@ -24,12 +43,12 @@
     ----------
     keep_open : bool
         Whether the reader stays open after an answer read with it is closed.
-    requires_whole_lines : bool
-        Whether each line must end with CRLF and have no other carriage return.
+    line_form : LineForm
+        Form that each line must have.
     """
 
     keep_open = True
-    requires_whole_lines = False
+    line_form = LineForm.ANY
 
     def close(self) -> None:
         """Close the reader, unless it must stay open for further answers."""
@@ -44,16 +63,20 @@
         IncompleteRead
             If whole lines are required and the connection ends within the line.
         MalformedAnswer
-            If whole lines are required and the line has another end or a further
-            carriage return.
+            If the line does not have the required form.
         """
         line = super().readline(size)
-        if self.requires_whole_lines:
-            is_cut_by_size = size is not None and 0 <= size <= len(line)
-            if not line.endswith(b"\n") and not is_cut_by_size:
-                raise IncompleteRead(line)
-            if line.find(b"\r") != len(line) - len(CRLF) and not is_cut_by_size:
-                raise MalformedAnswer("a line must end with CRLF and hold no other CR")
+        is_cut_by_size = size is not None and 0 <= size <= len(line)
+        if self.line_form is LineForm.ANY or is_cut_by_size:
+            return line
+        if not line.endswith(b"\n"):
+            raise IncompleteRead(line)
+        if not line.endswith(CRLF) or b"\r" in line[: -len(CRLF)]:
+            raise MalformedAnswer("a line must end with CRLF and hold no other CR")
+        is_field = line == CRLF or starts_with_field_name(line)
+        if self.line_form is LineForm.FIELD and not is_field:
+            quoted = line[:MAX_QUOTED_BYTES]
+            raise MalformedAnswer(f"the head has a line that is no header: {quoted!r}")
         return line
 
 
@@ -76,14 +99,10 @@
             If the head is malformed, or the length of the body is ambiguous.
         """
         reader = self.fp
-        # `begin` itself reports a connection that ends before the first byte.
-        reader.requires_whole_lines = bool(reader.peek(1))
         try:
             super().begin()
         finally:
-            reader.requires_whole_lines = False
-        if self.headers.get_payload():
-            raise MalformedAnswer("the head has a line that is no header")
+            reader.line_form = LineForm.ANY
         if self.status in INTERIM_STATUSES:
             raise MalformedAnswer(f"status {self.status} ends no request")
         encodings = self.headers.get_all("Transfer-Encoding", [])
@@ -93,7 +112,11 @@
             raise MalformedAnswer("the head has a Content-Length and chunks")
 
     def _read_status(self) -> tuple[str, int, str]:
+        reader = self.fp
+        # A connection that ends before the first byte is no malformed line.
+        reader.line_form = LineForm.WHOLE if reader.peek(1) else LineForm.ANY
         version, status, reason = super()._read_status()
+        reader.line_form = LineForm.FIELD
         if status in INTERIM_STATUSES and status != HTTPStatus.SWITCHING_PROTOCOLS:
             # `begin` skips the answers with this status.
             status = HTTPStatus.CONTINUE
@@ -108,8 +131,8 @@
 
     def _read_next_chunk_size(self) -> int:
         reader = self.fp
-        reader.requires_whole_lines = True
+        reader.line_form = LineForm.WHOLE
         try:
             return super()._read_next_chunk_size()
         finally:
-            reader.requires_whole_lines = False
+            reader.line_form = LineForm.ANY
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -224,19 +224,14 @@
 
 
 def _forwarded_headers(received: Iterable[tuple[str, str]]) -> Headers:
-    """Return the headers to pass on, in a form that every peer accepts."""
-    forwarded = []
-    for name, value in received:
-        if not is_header_value(value):
-            # The value may be folded over several lines.
-            value = " ".join(value.split())
-        if (
-            name.lower() not in HOP_BY_HOP
-            and is_visible_ascii(name)
-            and is_header_value(value)
-        ):
-            forwarded.append((name, value))
-    return tuple(forwarded)
+    """Return the headers to pass on, which every peer accepts."""
+    return tuple(
+        (name, value)
+        for name, value in received
+        if name.lower() not in HOP_BY_HOP
+        and is_visible_ascii(name)
+        and is_header_value(value)
+    )
 
 
 def _send_request(
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -54,3 +54,19 @@
 def test_answer_with_status_000_is_an_error(server, source, status):
     server.scripts = [[with_length(source).replace(b"200 OK", status), None]]
     assert isinstance(read(source, server.port), Err)
+
+
+@pytest.mark.parametrize("place", ["first", "last"])
+@pytest.mark.parametrize(
+    "name",
+    [b"X A", b" X-A", b"X-A ", b"\tX-A", b"\nX-A", b"X\x01A", b"X\x7fA", b"From X"],
+)
+def test_blank_or_control_byte_in_a_field_name_is_an_error(server, source, name, place):
+    field = name + b": b\r\n"
+    status_line, _, fields = HEAD.partition(b"\r\n")
+    spoilt_by_place = {
+        "first": status_line + b"\r\n" + field + fields,
+        "last": HEAD + field,
+    }
+    server.scripts = [[with_length(source, spoilt_by_place[place]), None]]
+    assert isinstance(read(source, server.port), Err)
--- a/tests/transport/test_framing.py
+++ b/tests/transport/test_framing.py
@@ -115,6 +115,68 @@
     assert failure.value.outcome is Outcome.UNKNOWN
 
 
+SOUND_FIELDS = (
+    b"X-Request-Id: id1\r\n",
+    b"X-Response-Stamp: s\r\n",
+    b"Content-Length: 12\r\n",
+)
+BLANKS_AND_CONTROLS = [bytes([code]) for code in (*range(0x21), 0x7F)]
+
+
+def heads_with(field):
+    """Yield a complete answer for each place of a field line among sound ones."""
+    name = field.strip().partition(b":")[0]
+    sound = [line for line in SOUND_FIELDS if not line.startswith(name + b":")]
+    for place in range(len(sound) + 1):
+        lines = [*sound[:place], field, *sound[place:]]
+        yield b"HTTP/1.1 200 OK\r\n" + b"".join(lines) + b"\r\n" + BODY
+
+
+@pytest.mark.parametrize("byte", BLANKS_AND_CONTROLS)
+@pytest.mark.parametrize("name", [b"Content-Length", b"X-Request-Id", b"X-A"])
+def test_field_name_with_a_blank_or_control_byte_is_a_failure(
+    server, client, name, byte
+):
+    value_by_name = {b"X-Request-Id": b"id1"}
+    line = name + b": " + value_by_name.get(name, b"12") + b"\r\n"
+    for place in (0, 1, len(name)):
+        for answer in heads_with(line):
+            spoilt = answer.replace(line, line[:place] + byte + line[place:])
+            server.scripts = [[spoilt, None]]
+            with pytest.raises(UpstreamFailure) as failure:
+                answer_of(client)
+            assert failure.value.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("field", [b"From X: 1\r\n", b"From : 1\r\n", b"From \r\n"])
+def test_mbox_line_is_a_failure(server, client, field):
+    # `email.parser`, which reads the heads for `http.client`, drops such a line.
+    for answer in heads_with(field):
+        server.scripts = [[answer, None]]
+        with pytest.raises(UpstreamFailure):
+            answer_of(client)
+
+
+@pytest.mark.parametrize(
+    "content_type",
+    [b"message/http", b"message/delivery-status", b"multipart/mixed; boundary=a"],
+)
+def test_answer_with_a_type_of_mail_is_delivered(server, client, content_type):
+    # `email.parser` looks for the parts of such a message, and may find an empty one.
+    for answer in heads_with(b"Content-Type: " + content_type + b"\r\n"):
+        server.scripts = [[answer]]
+        assert answer_of(client) == (200, ["s"], BODY)
+
+
+@pytest.mark.parametrize("field", [b"X A: b\r\n", b"\tX-A: b\r\n", b"X\x01A: b\r\n"])
+def test_probe_with_a_malformed_field_name_is_a_failure(server, client, field):
+    first_field = PROBE_ANSWER.index(b"X-Instance-Id")
+    spoilt = PROBE_ANSWER[:first_field] + field + PROBE_ANSWER[first_field:]
+    server.scripts = [[spoilt, None]]
+    with pytest.raises(UpstreamFailure):
+        probe(client)
+
+
 PROBE_ANSWER = b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 2\r\n\r\nok"
 
 
