Fail a read of the platform whose request could not be written

The readers of the platform took an answer that the server had sent before their request was written, and then reset the connection: an answer to no request.

Cause: as with the upload to an upstream, an error was ignored where a request is written. `urllib3` drops a broken pipe and a reset there, and reads what the server sent before. The platform's requests have no body, so that no answer can come early; the connection now raises, and the read fails, is logged and retried like any other. Parts of an answer without a length before a reset that comes after the request were refused already; their tests are kept.

--- a/chicorychute/transport/bounded.py
+++ b/chicorychute/transport/bounded.py
@@ -24,6 +24,10 @@
     """An answer has more bytes than its reader accepts."""
 
 
+class RequestInterrupted(HTTPException):
+    """The server ended the connection before the request was written."""
+
+
 class ReadLimits:
     """Deadline and number of bytes for what is read from a connection."""
 
@@ -151,9 +155,10 @@
 def bounded_pool_manager(
     clock: Clock, max_answer_bytes: int, **options
 ) -> urllib3.PoolManager:
-    """Return a pool manager for answers that are well-formed and end in time.
+    """Return a pool manager for requests without a body and answers that end in time.
 
-    An answer ends by the read timeout of its call, and has a well-formed head.
+    An answer has a well-formed head, ends by the read timeout of its call, and comes
+    after its request was written.
 
     Parameters
     ----------
@@ -171,6 +176,13 @@
             self._limits = ReadLimits(clock)
             self.sock = _BoundedSocket(self.sock, self._limits, max_answer_bytes)
 
+        def request(self, *args, **request_options) -> None:
+            try:
+                super().request(*args, **request_options)
+            except (BrokenPipeError, ConnectionResetError) as error:
+                # `urllib3` ignores these, and reads what the server has sent before.
+                raise RequestInterrupted(str(error)) from error
+
         def getresponse(self):
             timeout_s = math.inf if self.timeout is None else self.timeout
             self._limits.set_deadline(clock.monotonic() + timeout_s)
--- a/tests/transport/early_upstream.py
+++ b/tests/transport/early_upstream.py
@@ -77,7 +77,8 @@
                 _play(sock, self.unasked_script, b"")
                 return
             head, received = _read_head(sock)
-            name = head.split(b" ")[1].rpartition(b"/")[2].decode()
+            path = head.split(b" ")[1].partition(b"?")[0]
+            name = path.rpartition(b"/")[2].decode()
             value_by_header = dict(
                 line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
             )
