--- a/chicorychute/transport/framing.py
+++ b/chicorychute/transport/framing.py
@@ -6,18 +6,20 @@
 chunk. A proxy would pass the rest on as a complete answer.
 """
 
-import enum
 import io
 import re
+from collections.abc import Callable
 from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 
 CRLF = b"\r\n"
 INTERIM_STATUSES = range(100, 200)
-# A name holds neither blanks nor control characters (RFC 9110, section 5.1). A line
-# that begins with a blank is obsolete folding, which a sender must not generate and a
-# proxy may refuse (RFC 9112, section 5.2).
-starts_with_field_name = re.compile(rb"[\x21-\x39\x3b-\x7e]*:").match
+# A line ends with CRLF and has no other carriage return.
+is_whole_line = re.compile(rb"[^\r]*\r\n").fullmatch
+# The name of a header holds neither blanks nor control characters (RFC 9110, section
+# 5.1). A line that begins with a blank is obsolete folding, which a sender must not
+# generate and a proxy may refuse (RFC 9112, section 5.2). An empty line ends the head.
+is_head_line = re.compile(rb"([\x21-\x39\x3b-\x7e]*:[^\r]*)?\r\n").fullmatch
 # Bytes of a malformed line that an error quotes.
 MAX_QUOTED_BYTES = 40
 
@@ -26,16 +28,6 @@
     """An answer does not follow the grammar of HTTP/1.1 (RFC 9112)."""
 
 
-class LineForm(enum.Enum):
-    """Form that a line must have."""
-
-    ANY = "any"
-    # Ends with CRLF and has no other carriage return.
-    WHOLE = "whole"
-    # Whole, and either empty or a header.
-    FIELD = "field"
-
-
 class AnswerReader(io.BufferedReader):
     """Reader of a connection, which answers share one after the other.
 
@@ -43,12 +35,12 @@
     ----------
     keep_open : bool
         Whether the reader stays open after an answer read with it is closed.
-    line_form : LineForm
-        Form that each line must have.
+    is_valid_line : callable, optional
+        Returns whether a line has the required form; absent if any line is valid.
     """
 
     keep_open = True
-    line_form = LineForm.ANY
+    is_valid_line: Callable[[bytes], object] | None = None
 
     def close(self) -> None:
         """Close the reader, unless it must stay open for further answers."""
@@ -61,23 +53,19 @@
         Raises
         ------
         IncompleteRead
-            If whole lines are required and the connection ends within the line.
+            If a form is required and the connection ends within the line.
         MalformedAnswer
             If the line does not have the required form.
         """
         line = super().readline(size)
-        is_cut_by_size = size is not None and 0 <= size <= len(line)
-        if self.line_form is LineForm.ANY or is_cut_by_size:
+        if self.is_valid_line is None or self.is_valid_line(line):
+            return line
+        if size is not None and 0 <= size <= len(line):
+            # The caller refuses a line that it has not read to its end.
             return line
         if not line.endswith(b"\n"):
             raise IncompleteRead(line)
-        if not line.endswith(CRLF) or b"\r" in line[: -len(CRLF)]:
-            raise MalformedAnswer("a line must end with CRLF and hold no other CR")
-        is_field = line == CRLF or starts_with_field_name(line)
-        if self.line_form is LineForm.FIELD and not is_field:
-            quoted = line[:MAX_QUOTED_BYTES]
-            raise MalformedAnswer(f"the head has a line that is no header: {quoted!r}")
-        return line
+        raise MalformedAnswer(f"malformed line {line[:MAX_QUOTED_BYTES]!r}")
 
 
 class FramedResponse(HTTPResponse):
@@ -102,7 +90,7 @@
         try:
             super().begin()
         finally:
-            reader.line_form = LineForm.ANY
+            reader.is_valid_line = None
         if self.status in INTERIM_STATUSES:
             raise MalformedAnswer(f"status {self.status} ends no request")
         encodings = self.headers.get_all("Transfer-Encoding", [])
@@ -114,9 +102,9 @@
     def _read_status(self) -> tuple[str, int, str]:
         reader = self.fp
         # A connection that ends before the first byte is no malformed line.
-        reader.line_form = LineForm.WHOLE if reader.peek(1) else LineForm.ANY
+        reader.is_valid_line = is_whole_line if reader.peek(1) else None
         version, status, reason = super()._read_status()
-        reader.line_form = LineForm.FIELD
+        reader.is_valid_line = is_head_line
         if status in INTERIM_STATUSES and status != HTTPStatus.SWITCHING_PROTOCOLS:
             # `begin` skips the answers with this status.
             status = HTTPStatus.CONTINUE
@@ -131,8 +119,8 @@
 
     def _read_next_chunk_size(self) -> int:
         reader = self.fp
-        reader.line_form = LineForm.WHOLE
+        reader.is_valid_line = is_whole_line
         try:
             return super()._read_next_chunk_size()
         finally:
-            reader.line_form = LineForm.ANY
+            reader.is_valid_line = None
