List statuses above 599 among the known failures

Found beside the tests of status 000: `http.client` takes statuses up to 999. An answer with status 600 was passed on by a daemon beside the upstream (3 of 3). Over a peer it ended the link (3 of 3, `peer-lost`), as messages between daemons hold 100 to 599; other requests on a link that ends are lost with it. The new test fails on this code; the fault belongs to the grammar of messages, and is left to it.

--- a/tests/transport/test_framing.py
+++ b/tests/transport/test_framing.py
@@ -115,6 +115,14 @@
     assert failure.value.outcome is Outcome.UNKNOWN
 
 
+def test_status_above_those_of_http_is_a_failure(server, client):
+    # A peer takes such a status for a malformed message, and closes the link.
+    for status in (b"600", b"999"):
+        server.scripts = [[WITH_LENGTH.replace(b"200", status), None]]
+        with pytest.raises(UpstreamFailure):
+            answer_of(client)
+
+
 SOUND_FIELDS = (
     b"X-Request-Id: id1\r\n",
     b"X-Response-Stamp: s\r\n",
