Simplify the tests of early and spoilt answers

Two named functions in place of one with a flag, a head put together in one line, and the deadline of the other tests in place of 3 s.

--- a/tests/processes/test_spoilt_answers.py
+++ b/tests/processes/test_spoilt_answers.py
@@ -62,7 +62,7 @@
         headers = {
             "Host": "h.example",
             "X-Request-Id": f"{name}-{time.monotonic_ns()}",
-            "X-Deadline-Ms": "3000",
+            "X-Deadline-Ms": f"{TIMEOUT_S * 1000:.0f}",
         }
         connection.request("PUT", self.path_prefix + name, bytes(size), headers)
         response = connection.getresponse()
@@ -161,12 +161,10 @@
 
 @pytest.mark.parametrize("name", FIELD_NAMES)
 def test_answer_with_a_blank_or_control_byte_in_a_field_name_is_no_answer(edge, name):
-    field = b"\r\n" + FIELD_NAMES[name] + b": b"
+    field = FIELD_NAMES[name] + b": b"
     lines = WHOLE.partition(b"\r\n\r\n")[0].split(b"\r\n")
     for place in range(1, len(lines) + 1):
-        head = b"\r\n".join(lines[:place]) + field
-        for line in lines[place:]:
-            head += b"\r\n" + line
+        head = b"\r\n".join([*lines[:place], field, *lines[place:]])
         script = Script(head + b"\r\n\r\n" + BODY)
         for size in (0, UPLOAD_SIZES[0]):
             assert edge.answer("field", script, size)[0] == UPSTREAM_LOST
--- a/tests/transport/test_early_answers.py
+++ b/tests/transport/test_early_answers.py
@@ -82,17 +82,18 @@
 def test_part_of_an_answer_before_a_slow_write_is_a_failure(
     upstream, client, size, answers_unasked, monkeypatch
 ):
-    def slowed(function, pauses_before):
-        def call(*args):
-            time.sleep(WRITE_PAUSE_S if pauses_before else 0)
-            function(*args)
-            time.sleep(0 if pauses_before else WRITE_PAUSE_S)
+    connect, send = TrackedConnection.connect, TrackedConnection.send
 
-        return call
+    def connect_slowly(connection):
+        connect(connection)
+        time.sleep(WRITE_PAUSE_S)
 
-    connect, send = TrackedConnection.connect, TrackedConnection.send
-    monkeypatch.setattr(TrackedConnection, "connect", slowed(connect, False))
-    monkeypatch.setattr(TrackedConnection, "send", slowed(send, True))
+    def send_slowly(connection, data):
+        time.sleep(WRITE_PAUSE_S)
+        send(connection, data)
+
+    monkeypatch.setattr(TrackedConnection, "connect", connect_slowly)
+    monkeypatch.setattr(TrackedConnection, "send", send_slowly)
     script = Script(PART.replace(b"{id}", b"id1"), 0.0, resets=True)
     upstream.script_by_name["upload"] = script
     upstream.unasked_script = script if answers_unasked else None
