Say in the log that a connection broke, not who closed it

A cancelled request ends its own connection while it is written, so that the line on a broken write could name the wrong side. The scripted upstream of the tests no longer spins on a caller that left, and its health checks announce that the connection closes. 366 tests around it pass; what they check is unchanged.

--- a/chicorychute/transport/calls.py
+++ b/chicorychute/transport/calls.py
@@ -148,9 +148,9 @@
     Attributes
     ----------
     write_error : OSError, optional
-        Error with which the upstream's end of the connection interrupted the last
-        request. The operating system reports a reset once: to this write, so that the
-        answer's reader sees a plain end of the connection.
+        Error with which the connection broke while the last request was written. The
+        operating system reports a reset once: to this write, so that the reader of the
+        answer sees a plain end of the connection.
     """
 
     # The methods of `urllib3` repeat checks that the upstream client has made.
@@ -185,7 +185,7 @@
         """Send a request for the current call of this thread.
 
         An upstream may answer and close the connection before it has read the whole
-        body; `write_error` then states how the write ended.
+        body, so that a broken connection is no failure yet; `write_error` states it.
         """
         self.write_error = None
         self._pending_head = b""
--- a/chicorychute/transport/framing.py
+++ b/chicorychute/transport/framing.py
@@ -1,9 +1,9 @@
-"""Strict reading of the framing of an upstream's answer.
+"""Strict reading of the framing of an answer, of an upstream or the platform.
 
 `http.client` makes the best of a malformed answer: it takes a head that ends early for
 a complete one, joins a line that begins with a blank to the one before, drops lines or
 the whole rest of the head where a line is no header, and does not look at what ends a
-chunk. A proxy would pass the rest on as a complete answer.
+chunk. A proxy would pass the rest of such an answer on as a complete one.
 """
 
 import io
--- a/chicorychute/transport/upstream.py
+++ b/chicorychute/transport/upstream.py
@@ -246,7 +246,7 @@
         connection.request(work.method, work.target, body or None, headers)
         if connection.write_error is not None:
             logger.info(
-                "request: the upstream closed the connection while it was written",
+                "request: its connection broke while it was written",
                 id=work.id,
                 upstream=connection.host,
                 error=str(connection.write_error),
--- a/tests/transport/early_upstream.py
+++ b/tests/transport/early_upstream.py
@@ -10,6 +10,7 @@
 
 TIMEOUT_S = 20.0
 READ_BYTES = 64 << 10
+HEALTHY = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 # Closes a connection with a reset instead of an end.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -76,7 +77,7 @@
             if self.unasked_script is not None:
                 _play(sock, self.unasked_script, b"")
                 return
-            head, received = _read_head(sock)
+            head, body = _read_head(sock)
             path = head.split(b" ")[1].partition(b"?")[0]
             name = path.rpartition(b"/")[2].decode()
             value_by_header = dict(
@@ -84,11 +85,12 @@
             )
             script = self.script_by_name.get(name)
             if script is None:
-                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                sock.sendall(HEALTHY)
                 return
             size = int(value_by_header.get(b"content-length", b"0"))
-            while received < size * script.read_share:
-                received += len(sock.recv(READ_BYTES))
+            received_bytes = len(body)
+            while received_bytes < size * script.read_share:
+                received_bytes += len(_receive(sock))
             id = value_by_header.get(b"x-request-id", b"")
             self.count_by_name[name] = self.count_by_name.get(name, 0) + 1
             _play(sock, script, id)
@@ -102,12 +104,16 @@
 
 
 def _read_head(sock):
-    """Return the head of a request, and how many bytes of its body came with it."""
+    """Return the head of a request, and the part of its body that came with it."""
     data = b""
     while b"\r\n\r\n" not in data:
-        more = sock.recv(READ_BYTES)
-        if not more:
-            raise ConnectionAbortedError
-        data += more
+        data += _receive(sock)
     head, _, body = data.partition(b"\r\n\r\n")
-    return head, len(body)
+    return head, body
+
+
+def _receive(sock):
+    data = sock.recv(READ_BYTES)
+    if not data:
+        raise ConnectionAbortedError
+    return data
--- a/tests/transport/test_framing.py
+++ b/tests/transport/test_framing.py
@@ -27,6 +27,13 @@
 CHUNKS = b"5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n"
 WITH_LENGTH = HEAD + b"Content-Length: 12\r\n\r\n" + BODY
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS
+PROBE_ANSWER = b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 2\r\n\r\nok"
+SOUND_FIELDS = (
+    b"X-Request-Id: id1\r\n",
+    b"X-Response-Stamp: s\r\n",
+    b"Content-Length: 12\r\n",
+)
+BLANKS_AND_CONTROLS = [bytes([code]) for code in (*range(0x21), 0x7F)]
 REQUEST = PeerRequest(
     "GET", "/a", (("x-request-id", "id1"),), "s", "r", "", "", "", 1, 1000.0
 )
@@ -115,6 +122,10 @@
     assert failure.value.outcome is Outcome.UNKNOWN
 
 
+def probe(client):
+    return answer_of(client, health_probe_request("s", "/healthz"))
+
+
 def test_status_above_those_of_http_is_a_failure(server, client):
     # A peer takes such a status for a malformed message, and closes the link.
     for status in (b"600", b"999"):
@@ -123,14 +134,6 @@
             answer_of(client)
 
 
-SOUND_FIELDS = (
-    b"X-Request-Id: id1\r\n",
-    b"X-Response-Stamp: s\r\n",
-    b"Content-Length: 12\r\n",
-)
-BLANKS_AND_CONTROLS = [bytes([code]) for code in (*range(0x21), 0x7F)]
-
-
 def heads_with(field):
     """Yield a complete answer for each place of a field line among sound ones."""
     name = field.strip().partition(b":")[0]
@@ -185,13 +188,6 @@
         probe(client)
 
 
-PROBE_ANSWER = b"HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 2\r\n\r\nok"
-
-
-def probe(client):
-    return answer_of(client, health_probe_request("s", "/healthz"))
-
-
 def test_probe_with_status_000_is_a_failure(server, client):
     server.scripts = [[PROBE_ANSWER], [PROBE_ANSWER.replace(b"200", b"000"), None]]
     assert probe(client) == (200, [], b"ok")
