--- a/tests/transport/test_framing.py
+++ b/tests/transport/test_framing.py
@@ -159,6 +159,15 @@
             assert failure.value.outcome is Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize("line", [b" c\r\n", b"\tc\r\n", b" \r\n"])
+def test_folded_line_is_a_failure(server, client, line):
+    for answer in heads_with(line):
+        server.scripts = [[answer, None]]
+        with pytest.raises(UpstreamFailure) as failure:
+            answer_of(client)
+        assert failure.value.outcome is Outcome.UNKNOWN
+
+
 @pytest.mark.parametrize("field", [b"From X: 1\r\n", b"From : 1\r\n", b"From \r\n"])
 def test_mbox_line_is_a_failure(server, client, field):
     # `email.parser`, which reads the heads for `http.client`, drops such a line.
--- a/tests/transport/test_upstream_headers.py
+++ b/tests/transport/test_upstream_headers.py
@@ -22,10 +22,12 @@
     [
         (b"X-A: b\x01c", None),
         (b"X-A: b\x00c", None),
+        (b"X-A: b\x0bc", None),
+        (b"X-A: b\x0c", None),
         (b"X-A: \xe9", ("X-A", "\xe9")),
         (b": empty", None),
     ],
-    ids=["control", "null", "latin", "nameless"],
+    ids=["control", "null", "vertical tab", "form feed", "latin", "nameless"],
 )
 def test_header_that_no_peer_would_accept_is_dropped(line, expected):
     response = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 2\r\n\r\nok"
